--- /dev/null
+++ b/core/amrreason/reason.go
@@ -0,0 +1,97 @@
+// Package amrreason lists the reasons for which a request is refused or an
+// attempt declined, and what each says of whether the request ran.
+package amrreason
+
+import "net/http"
+
+// Code names a reason.
+type Code string
+
+// The reasons.
+const (
+	BadRequest         Code = "bad-request"
+	Unauthorized       Code = "unauthorized"
+	Forbidden          Code = "forbidden"
+	UnknownDeployment  Code = "unknown-deployment"
+	NoBackendServer    Code = "no-backend-server"
+	Overloaded         Code = "overloaded"
+	TeamLimit          Code = "team-limit"
+	DeadlineExceeded   Code = "deadline-exceeded"
+	Draining           Code = "draining"
+	StaleConfiguration Code = "stale-configuration"
+	WrongWeights       Code = "wrong-weights"
+	EngineUnavailable  Code = "engine-unavailable"
+	EngineLost         Code = "engine-lost"
+	Quarantined        Code = "quarantined"
+	KeyRequired        Code = "idempotency-key-required"
+	KeyReused          Code = "idempotency-key-reused"
+	LedgerUnavailable  Code = "ledger-unavailable"
+	OutcomeUnknown     Code = "outcome-unknown"
+	WrongIncarnation   Code = "wrong-incarnation"
+	ClaimExpired       Code = "claim-expired"
+	Canceled           Code = "canceled"
+	Internal           Code = "internal"
+)
+
+// Ran says whether a refused request ran.
+type Ran string
+
+// The answers to whether a request ran.
+const (
+	NotRun  Ran = "not-run"
+	DidRun  Ran = "ran"
+	Unknown Ran = "unknown"
+)
+
+// Reason describes a code.
+type Reason struct {
+	Code    Code
+	Ran     Ran    // What a refusal says unless an attempt got further.
+	Status  int    // HTTP status of the refusal.
+	Message string // One plain sentence.
+	Remedy  string // What the caller or operator can do.
+}
+
+var reasons = []Reason{
+	{BadRequest, NotRun, http.StatusBadRequest, "The request is not valid.", "Correct the field that the detail names and send it again."},
+	{Unauthorized, NotRun, http.StatusUnauthorized, "The bearer key belongs to no team.", "Send the key of a team in the Authorization header."},
+	{Forbidden, NotRun, http.StatusForbidden, "The team may not use this deployment.", "Ask an operator to add the team to the deployment."},
+	{UnknownDeployment, NotRun, http.StatusNotFound, "No deployment has this name.", "Name a deployment that exists."},
+	{NoBackendServer, NotRun, http.StatusServiceUnavailable, "No backend server of the deployment can take work now.", "Try again after the time in Retry-After."},
+	{Overloaded, NotRun, http.StatusServiceUnavailable, "Every suitable backend server has more work than it can finish in time.", "Try again after the time in Retry-After."},
+	{TeamLimit, NotRun, http.StatusTooManyRequests, "The team has used up its limit.", "Send fewer requests, or ask an operator to raise the limit."},
+	{DeadlineExceeded, NotRun, http.StatusGatewayTimeout, "The deadline passed before the request could run.", "Send it again with a longer deadline."},
+	{Draining, NotRun, http.StatusServiceUnavailable, "The server is leaving and takes no new work.", "Send it again; another server takes it."},
+	{StaleConfiguration, NotRun, http.StatusServiceUnavailable, "The router's configuration is older than the one in force.", "Send it again; the router is catching up."},
+	{WrongWeights, NotRun, http.StatusServiceUnavailable, "The backend server does not hold the weights in force.", "Send it again after the time in Retry-After."},
+	{EngineUnavailable, NotRun, http.StatusServiceUnavailable, "The backend server does not answer.", "Send it again after the time in Retry-After."},
+	{EngineLost, Unknown, http.StatusBadGateway, "The backend server was lost while the request ran.", "Send it again with the same idempotency key."},
+	{Quarantined, NotRun, http.StatusUnprocessableEntity, "The request was running on two backend servers when they crashed.", "Change the request, or ask an operator to lift the quarantine."},
+	{KeyRequired, NotRun, http.StatusBadRequest, "A non-idempotent request needs an idempotency key.", "Send it with an Idempotency-Key header."},
+	{KeyReused, NotRun, http.StatusConflict, "The idempotency key was used for another request.", "Use a new key for a new request."},
+	{LedgerUnavailable, NotRun, http.StatusServiceUnavailable, "The table service that keeps non-idempotent work from running twice is out.", "Send it again with the same key after the time in Retry-After."},
+	{OutcomeUnknown, Unknown, http.StatusConflict, "Whether the request ran cannot be told now.", "Ask again with the same key; it will not run a second time."},
+	{WrongIncarnation, NotRun, http.StatusServiceUnavailable, "The sidecar restarted since the request was meant for it.", "Send it again."},
+	{ClaimExpired, NotRun, http.StatusServiceUnavailable, "The time to start the request passed before it reached its backend server.", "Send it again with the same key."},
+	{Canceled, Unknown, 499, "The caller went away.", "None needed."},
+	{Internal, Unknown, http.StatusInternalServerError, "The system failed in a way that it does not know.", "Report the request id to the operators."},
+}
+
+// All returns every reason.
+func All() []Reason {
+	return append([]Reason(nil), reasons...)
+}
+
+// Of returns the reason of the code, or that of Internal for an unknown code.
+func Of(code Code) Reason {
+	var internal Reason
+	for _, r := range reasons {
+		if r.Code == code {
+			return r
+		}
+		if r.Code == Internal {
+			internal = r
+		}
+	}
+	return internal
+}
