Add the platform's client, its services in memory and the stand-in store

Routers and sidecars reach the table service, the object store and the host list through amrplatform.Client, which tells a write that was certainly not applied (unavailable) from one that may have been (outcome-unknown): only a connection that was never made, a refusal or a failed check count as certain.

--- /dev/null
+++ b/core/amrmemory/table.go
@@ -0,0 +1,104 @@
+package amrmemory
+
+import (
+	"context"
+	"slices"
+
+	"amaranthreach.example/core/amrplatform"
+)
+
+// Get implements amrplatform.Table.
+func (p *Platform) Get(ctx context.Context, key string) (amrplatform.Item, error) {
+	var item amrplatform.Item
+	err := p.read(ctx, func() error {
+		found, ok := p.table.get(key)
+		if !ok {
+			return amrplatform.NotFound.New("no item stands under %q: check the key", key)
+		}
+		item = cloneItem(found)
+		return nil
+	})
+	return item, err
+}
+
+// Scan implements amrplatform.Table.
+func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]amrplatform.Item, error) {
+	var items []amrplatform.Item
+	err := p.read(ctx, func() error {
+		for _, key := range p.table.after(prefix, after, limit) {
+			item, _ := p.table.get(key)
+			items = append(items, cloneItem(item))
+		}
+		return nil
+	})
+	return items, err
+}
+
+// Commit implements amrplatform.Table.
+func (p *Platform) Commit(ctx context.Context, txn amrplatform.Txn) error {
+	if p.delay(txn) {
+		return amrplatform.OutcomeUnknown.New("the answer to the write was lost: read back by its token")
+	}
+	return p.write(ctx, func() error { return p.apply(txn) })
+}
+
+// delay keeps the transaction for the next call when the faults ask for it.
+func (p *Platform) delay(txn amrplatform.Txn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.DelayNext == 0 || p.faults.Down {
+		return false
+	}
+	p.faults.DelayNext--
+	p.counters.Writes++
+	p.counters.Lost++
+	p.delayed = append(p.delayed, cloneTxn(txn))
+	return true
+}
+
+// applyDelayed applies the transactions that were kept for later.
+func (p *Platform) applyDelayed() {
+	delayed := p.delayed
+	p.delayed = nil
+	for _, txn := range delayed {
+		_ = p.apply(txn) // A failed check drops the transaction, as it would on arrival.
+	}
+}
+
+// apply checks and applies the transaction.
+func (p *Platform) apply(txn amrplatform.Txn) error {
+	for _, check := range txn.Checks {
+		item, _ := p.table.get(check.Key)
+		if item.Version != check.Version {
+			return amrplatform.Conflict.New("key %q stands at version %d, not %d: read again and decide anew",
+				check.Key, item.Version, check.Version)
+		}
+	}
+	for _, put := range txn.Puts {
+		p.versions[put.Key]++
+		p.table.put(put.Key, amrplatform.Item{
+			Key:     put.Key,
+			Value:   slices.Clone(put.Value),
+			Version: p.versions[put.Key],
+		})
+	}
+	for _, key := range txn.Deletes {
+		p.table.remove(key)
+	}
+	return nil
+}
+
+func cloneItem(item amrplatform.Item) amrplatform.Item {
+	item.Value = slices.Clone(item.Value)
+	return item
+}
+
+func cloneTxn(txn amrplatform.Txn) amrplatform.Txn {
+	txn.Checks = slices.Clone(txn.Checks)
+	txn.Puts = slices.Clone(txn.Puts)
+	txn.Deletes = slices.Clone(txn.Deletes)
+	for i := range txn.Puts {
+		txn.Puts[i].Value = slices.Clone(txn.Puts[i].Value)
+	}
+	return txn
+}
--- /dev/null
+++ b/core/amrplatform/client.go
@@ -0,0 +1,215 @@
+package amrplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// DefaultTimeout bounds a call whose context has no earlier deadline.
+const DefaultTimeout = 3 * time.Second
+
+// Client calls the platform's services over HTTP. It implements Table, Objects
+// and HostList and is safe for concurrent use.
+type Client struct {
+	baseURL string
+	http    *http.Client
+	timeout time.Duration
+}
+
+var (
+	_ Table    = (*Client)(nil)
+	_ Objects  = (*Client)(nil)
+	_ HostList = (*Client)(nil)
+)
+
+// NewClient returns a client of the services at the URL.
+func NewClient(baseURL string, opts ...Option) *Client {
+	c := &Client{
+		baseURL: strings.TrimSuffix(baseURL, "/"),
+		http:    &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()},
+		timeout: DefaultTimeout,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithHTTPClient sets the HTTP client that carries the calls.
+func WithHTTPClient(client *http.Client) Option {
+	return func(c *Client) { c.http = client }
+}
+
+// WithTimeout sets the bound of a call whose context has no earlier deadline.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// CloseIdleConnections closes the connections that carry no call.
+func (c *Client) CloseIdleConnections() {
+	c.http.CloseIdleConnections()
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	var item wireItem
+	err := c.getJSON(ctx, pathItem, url.Values{"key": {key}}, &item)
+	return Item(item), err
+}
+
+// Scan implements Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Item, error) {
+	var wire []wireItem
+	err := c.getJSON(ctx, pathItems, pageQuery(prefix, after, limit), &wire)
+	var items []Item
+	for _, item := range wire {
+		items = append(items, Item(item))
+	}
+	return items, err
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, txn Txn) error {
+	body, err := json.Marshal(toWireTxn(txn))
+	if err != nil {
+		return Unavailable.Wrap(err, "the transaction was not sent: correct its values")
+	}
+	_, err = c.do(ctx, call{method: http.MethodPost, path: pathTransactions, body: body})
+	return err
+}
+
+// PutObject implements Objects.
+func (c *Client) PutObject(ctx context.Context, key string, data []byte) error {
+	_, err := c.do(ctx, call{method: http.MethodPut, path: pathObject, query: url.Values{"key": {key}}, body: data})
+	return err
+}
+
+// GetObject implements Objects.
+func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
+	return c.do(ctx, call{method: http.MethodGet, path: pathObject, query: url.Values{"key": {key}}})
+}
+
+// ListObjects implements Objects.
+func (c *Client) ListObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	var keys []string
+	err := c.getJSON(ctx, pathObjectKeys, pageQuery(prefix, after, limit), &keys)
+	return keys, err
+}
+
+// DeleteObject implements Objects.
+func (c *Client) DeleteObject(ctx context.Context, key string) error {
+	_, err := c.do(ctx, call{method: http.MethodDelete, path: pathObject, query: url.Values{"key": {key}}})
+	return err
+}
+
+// Hosts implements HostList.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var wire []wireHost
+	err := c.getJSON(ctx, pathHosts, nil, &wire)
+	var hosts []Host
+	for _, host := range wire {
+		hosts = append(hosts, Host(host))
+	}
+	return hosts, err
+}
+
+func pageQuery(prefix, after string, limit int) url.Values {
+	return url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, query url.Values, v any) error {
+	data, err := c.do(ctx, call{method: http.MethodGet, path: path, query: query})
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return Unavailable.Wrap(err, "the service's answer cannot be read: check its address")
+	}
+	return nil
+}
+
+// call is one HTTP request.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+}
+
+// failure returns the kind of the error of a call that may have been served.
+func (c call) failure() *errorx.Type {
+	if c.method == http.MethodGet {
+		return Unavailable
+	}
+	return OutcomeUnknown
+}
+
+// do sends the call and returns the body of a successful answer.
+func (c *Client) do(ctx context.Context, call call) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	target := c.baseURL + call.path + "?" + call.query.Encode()
+	req, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, Unavailable.Wrap(err, "the request was not sent: check the service's address")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if !sent.Load() {
+			return nil, Unavailable.Wrap(err, "the service cannot be reached: try again after a pause")
+		}
+		return nil, call.failure().Wrap(err, "the connection broke before the answer: read back before trying again")
+	}
+	defer resp.Body.Close()
+	return readAnswer(resp, call)
+}
+
+// readAnswer returns the body of a successful answer, or the error that the
+// status stands for.
+func readAnswer(resp *http.Response, call call) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	if resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices {
+		if call.method != http.MethodGet {
+			return nil, nil // The status alone says that the write took effect.
+		}
+		if err != nil || len(data) > maxBodyBytes {
+			return nil, Unavailable.New("the answer broke off or is too large: try again after a pause")
+		}
+		return data, nil
+	}
+	var failure wireError
+	_ = json.Unmarshal(data, &failure) // An answer without a message still has a status.
+	return nil, kindOfStatus(resp.StatusCode, call).New("status %d: %s", resp.StatusCode, failure.Message)
+}
+
+func kindOfStatus(status int, call call) *errorx.Type {
+	switch status {
+	case http.StatusNotFound:
+		return NotFound
+	case http.StatusConflict:
+		return Conflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests,
+		http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return Unavailable
+	default:
+		return call.failure()
+	}
+}
--- /dev/null
+++ b/core/amrplatform/handler.go
@@ -0,0 +1,144 @@
+package amrplatform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+)
+
+// NewHandler serves the services over HTTP in the form that Client reads.
+//
+// A write whose outcome is unknown gets no answer: its connection is broken.
+func NewHandler(table Table, objects Objects, hosts HostList) http.Handler {
+	h := &handler{table: table, objects: objects, hosts: hosts}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathItem, h.getItem)
+	mux.HandleFunc("GET "+pathItems, h.scan)
+	mux.HandleFunc("POST "+pathTransactions, h.commit)
+	mux.HandleFunc("GET "+pathObject, h.getObject)
+	mux.HandleFunc("PUT "+pathObject, h.putObject)
+	mux.HandleFunc("DELETE "+pathObject, h.deleteObject)
+	mux.HandleFunc("GET "+pathObjectKeys, h.listObjects)
+	mux.HandleFunc("GET "+pathHosts, h.listHosts)
+	return mux
+}
+
+type handler struct {
+	table   Table
+	objects Objects
+	hosts   HostList
+}
+
+func (h *handler) getItem(w http.ResponseWriter, r *http.Request) {
+	item, err := h.table.Get(r.Context(), r.FormValue("key"))
+	respond(w, wireItem(item), err)
+}
+
+func (h *handler) scan(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.FormValue("limit"))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	items, err := h.table.Scan(r.Context(), r.FormValue("prefix"), r.FormValue("after"), limit)
+	wire := make([]wireItem, 0, len(items))
+	for _, item := range items {
+		wire = append(wire, wireItem(item))
+	}
+	respond(w, wire, err)
+}
+
+func (h *handler) commit(w http.ResponseWriter, r *http.Request) {
+	var txn wireTxn
+	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if err := json.NewDecoder(body).Decode(&txn); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	respondWrite(w, h.table.Commit(r.Context(), txn.txn()))
+}
+
+func (h *handler) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := h.objects.GetObject(r.Context(), r.FormValue("key"))
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(data) // A caller that has gone away needs no answer.
+}
+
+func (h *handler) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	respondWrite(w, h.objects.PutObject(r.Context(), r.URL.Query().Get("key"), data))
+}
+
+func (h *handler) deleteObject(w http.ResponseWriter, r *http.Request) {
+	respondWrite(w, h.objects.DeleteObject(r.Context(), r.URL.Query().Get("key")))
+}
+
+func (h *handler) listObjects(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.FormValue("limit"))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	keys, err := h.objects.ListObjects(r.Context(), r.FormValue("prefix"), r.FormValue("after"), limit)
+	if keys == nil {
+		keys = []string{}
+	}
+	respond(w, keys, err)
+}
+
+func (h *handler) listHosts(w http.ResponseWriter, r *http.Request) {
+	hosts, err := h.hosts.Hosts(r.Context())
+	wire := make([]wireHost, 0, len(hosts))
+	for _, host := range hosts {
+		wire = append(wire, wireHost(host))
+	}
+	respond(w, wire, err)
+}
+
+func respond(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // A caller that has gone away needs no answer.
+}
+
+func respondWrite(w http.ResponseWriter, err error) {
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// writeFailure answers with the status of the error's kind.
+func writeFailure(w http.ResponseWriter, err error) {
+	switch {
+	case errorx.IsOfType(err, NotFound):
+		writeError(w, http.StatusNotFound, err)
+	case errorx.IsOfType(err, Conflict):
+		writeError(w, http.StatusConflict, err)
+	case errorx.IsOfType(err, Unavailable):
+		writeError(w, http.StatusServiceUnavailable, err)
+	default:
+		panic(http.ErrAbortHandler) // Breaks the connection.
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(wireError{Message: err.Error()}) // A caller that has gone away needs no answer.
+}
