--- a/core/amrreason/reason.go
+++ b/core/amrreason/reason.go
@@ -22,6 +22,7 @@
 	WrongWeights       Code = "wrong-weights"
 	EngineUnavailable  Code = "engine-unavailable"
 	EngineLost         Code = "engine-lost"
+	CrashSuspect       Code = "crash-suspect"
 	Quarantined        Code = "quarantined"
 	KeyRequired        Code = "idempotency-key-required"
 	KeyReused          Code = "idempotency-key-reused"
@@ -66,6 +67,7 @@
 	{WrongWeights, NotRun, http.StatusServiceUnavailable, "The backend server does not hold the weights in force.", "Send it again after the time in Retry-After."},
 	{EngineUnavailable, NotRun, http.StatusServiceUnavailable, "The backend server does not answer.", "Send it again after the time in Retry-After."},
 	{EngineLost, Unknown, http.StatusBadGateway, "The backend server was lost while the request ran.", "Send it again with the same idempotency key."},
+	{CrashSuspect, NotRun, http.StatusServiceUnavailable, "A backend server crashed while it ran this request, which now runs only alone, once at a time.", "Send it again after the time in Retry-After."},
 	{Quarantined, NotRun, http.StatusUnprocessableEntity, "The request was running on two backend servers when they crashed.", "Change the request, or ask an operator to lift the quarantine."},
 	{KeyRequired, NotRun, http.StatusBadRequest, "A non-idempotent request needs an idempotency key.", "Send it with an Idempotency-Key header."},
 	{KeyReused, NotRun, http.StatusConflict, "The idempotency key was used for another request.", "Use a new key for a new request."},
