--- /dev/null
+++ b/core/amrrecord/deployment.go
@@ -0,0 +1,108 @@
+package amrrecord
+
+import "strings"
+
+type deploymentSchema1 struct{}
+
+// deploymentWire1 knows one version of the weights, in force everywhere.
+type deploymentWire1 struct {
+	Type          DeploymentType `json:"type" yaml:"type"`
+	Model         string         `json:"model,omitempty" yaml:"model,omitempty"`
+	Weights       string         `json:"weights,omitempty" yaml:"weights,omitempty"`
+	RoutingPolicy string         `json:"routing-policy" yaml:"routing-policy"`
+	Teams         []string       `json:"teams,omitempty" yaml:"teams,omitempty"`
+	NonIdempotent []string       `json:"non-idempotent,omitempty" yaml:"non-idempotent,omitempty"`
+}
+
+func (deploymentSchema1) newWire() wire { return &deploymentWire1{} }
+
+func (deploymentSchema1) fromSpec(s Spec) (wire, error) {
+	d := s.(Deployment)
+	w := &deploymentWire1{
+		Type:          d.Type,
+		Model:         d.Model,
+		RoutingPolicy: d.RoutingPolicy,
+		Teams:         d.Teams,
+		NonIdempotent: d.NonIdempotent,
+	}
+	switch {
+	case len(d.Versions) == 0:
+	case len(d.Versions) == 1 && d.Versions[0].Share == 100 && len(d.Versions[0].AvailabilityZones) == 0:
+		w.Weights = d.Versions[0].Weights
+	default:
+		return nil, unexpressed("versions", 1, "finish the rollout so that one version has a share of 100 in all availability zones, or keep schema version 2")
+	}
+	return w, nil
+}
+
+func (w *deploymentWire1) spec() Spec {
+	d := Deployment{
+		Type:          w.Type,
+		Model:         w.Model,
+		RoutingPolicy: w.RoutingPolicy,
+		Teams:         w.Teams,
+		NonIdempotent: w.NonIdempotent,
+	}
+	if w.Weights != "" {
+		d.Versions = []Version{{Weights: w.Weights, Share: 100}}
+	}
+	return d
+}
+
+type deploymentSchema2 struct{}
+
+type deploymentWire2 struct {
+	Type          DeploymentType `json:"type" yaml:"type"`
+	Model         string         `json:"model,omitempty" yaml:"model,omitempty"`
+	Versions      []Version      `json:"versions,omitempty" yaml:"versions,omitempty"`
+	RoutingPolicy string         `json:"routing-policy" yaml:"routing-policy"`
+	Teams         []string       `json:"teams,omitempty" yaml:"teams,omitempty"`
+	NonIdempotent []string       `json:"non-idempotent,omitempty" yaml:"non-idempotent,omitempty"`
+}
+
+func (deploymentSchema2) newWire() wire { return &deploymentWire2{} }
+
+func (deploymentSchema2) fromSpec(s Spec) (wire, error) {
+	w := deploymentWire2(s.(Deployment))
+	return &w, nil
+}
+
+func (w *deploymentWire2) spec() Spec { return Deployment(*w) }
+
+func (d Deployment) problems() []problem {
+	var p problems
+	p.required("routing-policy", d.RoutingPolicy)
+	switch d.Type {
+	case TypeModel:
+		p.required("model", d.Model)
+		p.check(len(d.NonIdempotent) == 0, "non-idempotent", "belongs to services; remove it or set type: service")
+	case TypeService:
+		p.check(len(d.Versions) == 0, "versions", "belongs to models; remove it or set type: model")
+	case "":
+		p.required("type", "")
+	default:
+		p.check(false, "type", "%q is unknown; write model or service", d.Type)
+	}
+	for _, path := range d.NonIdempotent {
+		p.check(strings.HasPrefix(path, "/"), "non-idempotent", "%q is no path; begin it with /", path)
+	}
+	d.checkVersions(&p)
+	return p
+}
+
+// checkVersions requires that the versions without availability zones share
+// all of the traffic that no availability zone claims.
+func (d Deployment) checkVersions(p *problems) {
+	total, everywhere := 0, false
+	for _, v := range d.Versions {
+		p.check(v.Weights != "", "versions", "weights is missing; name the weights of each version")
+		p.check(v.Share >= 0 && v.Share <= 100, "versions", "share %d is out of range; write a percentage from 0 to 100", v.Share)
+		if len(v.AvailabilityZones) == 0 {
+			everywhere = true
+			total += v.Share
+		}
+	}
+	if everywhere {
+		p.check(total == 100, "versions", "the shares of the versions without availability-zones add up to %d; make them 100", total)
+	}
+}
--- /dev/null
+++ b/core/amrrecord/record_test.go
@@ -0,0 +1,134 @@
+package amrrecord_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrrecord"
+)
+
+// TestParse runs the commands of testdata/parse: "parse" prints the records
+// as they are written again, "convert" in another schema version, "validate"
+// what is wrong with the set.
+func TestParse(t *testing.T) {
+	datadriven.Walk(t, "testdata/parse", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			records, err := amrrecord.Parse("records.yaml", []byte(d.Input))
+			if err != nil {
+				return err.Error() + "\n"
+			}
+			switch d.Cmd {
+			case "parse":
+				return write(records)
+			case "convert":
+				var version int
+				d.ScanArgs(t, "to", &version)
+				return convert(records, version)
+			case "validate":
+				return fmt.Sprintln(amrrecord.Validate(amrrecord.Set{}.With(records...)))
+			default:
+				return "unknown command " + d.Cmd
+			}
+		})
+	})
+}
+
+func write(records []amrrecord.Record) string {
+	var b strings.Builder
+	for i, r := range records {
+		text, err := amrrecord.Marshal(r)
+		if err != nil {
+			return err.Error()
+		}
+		if i > 0 {
+			b.WriteString("--\n")
+		}
+		b.Write(text)
+	}
+	return b.String()
+}
+
+func convert(records []amrrecord.Record, version int) string {
+	var errs []error
+	for i, r := range records {
+		var err error
+		records[i], err = r.Convert(version)
+		errs = append(errs, err)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err.Error() + "\n"
+	}
+	return write(records)
+}
+
+func TestSetIndexes(t *testing.T) {
+	is := is.New(t)
+	digest := strings.Repeat("ab", 32)
+	team := amrrecord.Record{Name: "recife", Spec: amrrecord.Team{KeySHA256: []string{digest}}}
+	server := func(name, deployment string) amrrecord.Record {
+		return amrrecord.Record{Name: name, Spec: amrrecord.BackendServer{Deployment: deployment}}
+	}
+	old := amrrecord.Set{}.With(team, server("b2", "m1"), server("b1", "m1"))
+	moved := old.With(server("b1", "m2"))
+
+	name, _, ok := old.TeamByKey(digest)
+	is.True(ok)
+	is.Equal(name, "recife")
+	is.Equal(old.BackendServers("m1"), []amrrecord.Record{server("b1", "m1"), server("b2", "m1")})
+	is.Equal(moved.BackendServers("m1"), []amrrecord.Record{server("b2", "m1")})
+	is.Equal(moved.BackendServers("m2"), []amrrecord.Record{server("b1", "m2")})
+	is.Equal(moved.Len(), 3)
+
+	_, _, ok = old.With(amrrecord.Record{Name: "recife", Spec: amrrecord.Team{}}).TeamByKey(digest)
+	is.True(!ok) // The key was taken from the team.
+	is.Equal(len(moved.Without(server("b1", "").ID()).BackendServers("m2")), 0)
+}
+
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/example.yaml")
+	is.NoErr(err)
+	records, err := amrrecord.Parse("example.yaml", data)
+	is.NoErr(err)
+	set := amrrecord.Set{}.With(records...).WithRevision(7)
+	is.NoErr(amrrecord.Validate(set))
+
+	snapshot, err := set.MarshalBinary()
+	is.NoErr(err)
+	var back amrrecord.Set
+	is.NoErr(back.UnmarshalBinary(snapshot))
+	is.Equal(back.Revision(), uint64(7))
+	is.Equal(write(back.Records()), write(set.Records()))
+}
+
+func FuzzParse(f *testing.F) {
+	example, err := os.ReadFile("testdata/example.yaml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, err := amrrecord.Parse("f.yaml", data)
+		if err != nil {
+			if !strings.Contains(err.Error(), "f.yaml:") {
+				t.Fatalf("error names no file: %v", err)
+			}
+			return
+		}
+		for _, r := range records {
+			text, err := amrrecord.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := amrrecord.Parse("again.yaml", text); err != nil {
+				t.Fatalf("%s\n%v", text, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/amrrecord/sharded.go
@@ -0,0 +1,89 @@
+package amrrecord
+
+import (
+	"maps"
+
+	"github.com/zeebo/xxh3"
+)
+
+const shardCount = 256
+
+// shardedMap is an immutable map whose copies share what they have in common.
+// The zero value is an empty map.
+type shardedMap[V any] struct {
+	shards *[shardCount]map[string]V
+}
+
+func (m shardedMap[V]) get(key string) (V, bool) {
+	if m.shards == nil {
+		var zero V
+		return zero, false
+	}
+	v, ok := m.shards[shardOf(key)][key]
+	return v, ok
+}
+
+// all calls yield for each entry, in no order.
+func (m shardedMap[V]) all(yield func(string, V) bool) {
+	if m.shards == nil {
+		return
+	}
+	for _, shard := range m.shards {
+		for key, v := range shard {
+			if !yield(key, v) {
+				return
+			}
+		}
+	}
+}
+
+func (m shardedMap[V]) edit() *shardedEdit[V] {
+	e := &shardedEdit[V]{}
+	if m.shards != nil {
+		e.shards = *m.shards
+	}
+	return e
+}
+
+// shardedEdit gathers changes to a shardedMap. It copies a shard when it first
+// writes to it.
+type shardedEdit[V any] struct {
+	shards [shardCount]map[string]V
+	owned  [shardCount]bool
+}
+
+func (e *shardedEdit[V]) get(key string) (V, bool) {
+	v, ok := e.shards[shardOf(key)][key]
+	return v, ok
+}
+
+func (e *shardedEdit[V]) put(key string, v V) {
+	e.own(key)[key] = v
+}
+
+func (e *shardedEdit[V]) remove(key string) {
+	if _, ok := e.get(key); ok {
+		delete(e.own(key), key)
+	}
+}
+
+// done returns the changed map. The edit must not be used after it.
+func (e *shardedEdit[V]) done() shardedMap[V] {
+	return shardedMap[V]{&e.shards}
+}
+
+func (e *shardedEdit[V]) own(key string) map[string]V {
+	i := shardOf(key)
+	if !e.owned[i] {
+		e.owned[i] = true
+		e.shards[i] = maps.Clone(e.shards[i])
+	}
+	if e.shards[i] == nil {
+		e.shards[i] = map[string]V{}
+	}
+	return e.shards[i]
+}
+
+func shardOf(key string) int {
+	return int(xxh3.HashString(key) % shardCount)
+}
--- /dev/null
+++ b/core/amrrecord/team.go
@@ -0,0 +1,53 @@
+package amrrecord
+
+type teamSchema struct{}
+
+type teamWire struct {
+	KeySHA256         []string `json:"key-sha256,omitempty" yaml:"key-sha256,omitempty"`
+	Weight            int      `json:"weight,omitempty" yaml:"weight,omitempty"`
+	Priority          int      `json:"priority,omitempty" yaml:"priority,omitempty"`
+	RequestsPerSecond float64  `json:"requests-per-second,omitempty" yaml:"requests-per-second,omitempty"`
+	TokensPerSecond   float64  `json:"tokens-per-second,omitempty" yaml:"tokens-per-second,omitempty"`
+	Concurrency       int      `json:"concurrency,omitempty" yaml:"concurrency,omitempty"`
+	Operator          bool     `json:"operator,omitempty" yaml:"operator,omitempty"`
+}
+
+func (teamSchema) newWire() wire { return &teamWire{} }
+
+func (teamSchema) fromSpec(s Spec) (wire, error) {
+	w := teamWire(s.(Team))
+	return &w, nil
+}
+
+func (w *teamWire) spec() Spec { return Team(*w) }
+
+const (
+	maxTeamWeight   = 1000
+	maxTeamPriority = 1000
+	sha256HexLength = 64
+)
+
+func (t Team) problems() []problem {
+	var p problems
+	for _, key := range t.KeySHA256 {
+		p.check(isHex(key, sha256HexLength), "key-sha256", "%q is no SHA-256 digest; write the 64 lower-case hex digits that sha256sum prints for the key", key)
+	}
+	p.between("weight", t.Weight, 0, maxTeamWeight)
+	p.between("priority", t.Priority, -maxTeamPriority, maxTeamPriority)
+	p.check(t.RequestsPerSecond >= 0, "requests-per-second", "%v is negative; write 0 for no limit", t.RequestsPerSecond)
+	p.check(t.TokensPerSecond >= 0, "tokens-per-second", "%v is negative; write 0 for no limit", t.TokensPerSecond)
+	p.check(t.Concurrency >= 0, "concurrency", "%d is negative; write 0 for no limit", t.Concurrency)
+	return p
+}
+
+func isHex(s string, length int) bool {
+	if len(s) != length {
+		return false
+	}
+	for _, c := range s {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
