Add the index of an engine's cached blocks

Cause: only the sidecar can follow its engine's cache events at full size. Change: core/amrcache, an index by late, gapped events and by what the sidecar ran itself, in the engine's order of use.

--- /dev/null
+++ b/core/amrcache/index_test.go
@@ -0,0 +1,132 @@
+package amrcache
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"github.com/zeebo/xxh3"
+
+	"amaranthreach.example/core/amrprompt"
+)
+
+// TestScripts runs the scripts in testdata. A block is written as one letter;
+// its key is the letter.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		x := New(WithCapacity(6))
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return command(t, x, d)
+		})
+	})
+}
+
+func command(t *testing.T, x *Index, d *datadriven.TestData) string {
+	var prompt string
+	if d.HasArg("prompt") {
+		d.ScanArgs(t, "prompt", &prompt)
+	}
+	keys := blocks(prompt)
+	switch d.Cmd {
+	case "events":
+		var incarnation string
+		d.ScanArgs(t, "incarnation", &incarnation)
+		x.Apply(incarnation, events(t, d.Input))
+	case "expect":
+		x.Expect(keys)
+	case "abandoned":
+		x.Abandoned(keys)
+	case "computed":
+		x.Computed(keys)
+	case "observed":
+		var cached int
+		d.ScanArgs(t, "cached", &cached)
+		x.Observed(keys, cached, d.HasArg("computed"))
+	case "capacity":
+		var n int
+		d.ScanArgs(t, "blocks", &n)
+		x.SetCapacity(n)
+	case "depth":
+	default:
+		d.Fatalf(t, "unknown command %q", d.Cmd)
+	}
+	return fmt.Sprintf("depth=%d expected=%d len=%d missed=%d\n",
+		x.Depth(keys), x.ExpectedDepth(keys), x.Len(), x.Missed())
+}
+
+func blocks(prompt string) []amrprompt.Key {
+	keys := make([]amrprompt.Key, len(prompt))
+	for i := range keys {
+		keys[i][0] = prompt[i]
+	}
+	return keys
+}
+
+func events(t *testing.T, input string) []Event {
+	var all []Event
+	for line := range strings.Lines(input) {
+		var e Event
+		var letter string
+		if _, err := fmt.Sscan(line, &e.Seq, &e.Kind, &letter); err != nil && e.Kind != Cleared {
+			t.Fatal(err)
+		}
+		if letter != "" {
+			e.Key[0] = letter[0]
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// TestFullSizeMemory holds the index to 64 bytes a block at the capacity of a
+// full-size engine, which is 6 MB of the 256 MB that a process may take.
+func TestFullSizeMemory(t *testing.T) {
+	is := is.New(t)
+	const bound = 64 // Bytes a block.
+	is.True(bytesPerBlock() <= bound)
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		b.ReportMetric(bytesPerBlock(), "bytes/block")
+	}
+}
+
+func BenchmarkExpectedDepth(b *testing.B) {
+	x := New()
+	keys := numbered(0, 16)
+	x.Expect(keys)
+	x.Computed(keys)
+	b.ReportAllocs()
+	for b.Loop() {
+		x.ExpectedDepth(keys)
+	}
+}
+
+func bytesPerBlock() float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	x := New()
+	for i := 0; i < 2*DefaultCapacity; i += 8 {
+		keys := numbered(i, 8)
+		x.Expect(keys)
+		x.Computed(keys)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	size := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	return size / float64(x.Len())
+}
+
+func numbered(from, n int) []amrprompt.Key {
+	keys := make([]amrprompt.Key, n)
+	for i := range keys {
+		binary.LittleEndian.PutUint64(keys[i][:], xxh3.HashString(fmt.Sprint(from+i)))
+	}
+	return keys
+}
