--- /dev/null
+++ b/standin/amrengine/engine_test.go
@@ -0,0 +1,220 @@
+package amrengine
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/core/amrprompt"
+	"amaranthreach.example/standin/amrweights"
+)
+
+// TestEngine runs the scripts of testdata/engine on a fake clock.
+func TestEngine(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/engine/*")
+	if err != nil || len(scripts) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, path := range scripts {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := &harness{t: t, start: time.Now(), calls: make(map[string]*call)} //nolint:forbidigo // The bubble's clock.
+				h.ctx, h.stop = context.WithCancel(t.Context())
+				datadriven.RunTest(t, path, h.run)
+				h.stop()
+				_ = h.group.Wait()
+			})
+		})
+	}
+}
+
+// harness drives engines that share a directory and a weight store.
+type harness struct {
+	t       *testing.T
+	ctx     context.Context
+	stop    context.CancelFunc
+	start   time.Time
+	group   errgroup.Group
+	engines []*Engine
+	calls   map[string]*call
+}
+
+type call struct {
+	recorder *httptest.ResponseRecorder
+	cancel   context.CancelFunc
+	state    string
+}
+
+func (h *harness) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "engines":
+		h.newEngines(d)
+	case "complete":
+		h.complete(d)
+	case "post":
+		h.send(argument(d, "id", ""), h.engine(d), http.MethodPost, argument(d, "path", ""), d.Input, nil)
+	case "get":
+		h.send(argument(d, "id", ""), h.engine(d), http.MethodGet, argument(d, "path", ""), "", nil)
+	case "advance":
+		pause, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(pause) //nolint:forbidigo // The bubble's clock.
+	case "hang-up":
+		h.calls[argument(d, "id", "")].cancel()
+	case "crash":
+		h.engine(d).Crash()
+	case "freeze":
+		h.engine(d).Freeze(number[time.Duration](d, "ms", 0) * time.Millisecond)
+	case "restart":
+		h.engine(d).Restart()
+	case "answer":
+		synctest.Wait()
+		return h.answer(argument(d, "id", ""))
+	case "log":
+		synctest.Wait()
+		return h.log(h.engine(d))
+	case "state":
+		synctest.Wait()
+		return h.state(d)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	synctest.Wait()
+	return ""
+}
+
+func (h *harness) newEngines(d *datadriven.TestData) {
+	directory, store := NewDirectory(), amrweights.New()
+	for i := range number[int](d, "count", 1) {
+		h.engines = append(h.engines, New(
+			WithSeed(uint64(i)),
+			WithCacheBlocks(number[int](d, "cache-blocks", 100)),
+			WithBatchLimit(number[int](d, "batch-limit", 32)),
+			WithQueueLimit(number[int](d, "queue-limit", 100)),
+			WithFences(argument(d, "fences", "true") == "true"),
+			WithPoison("poison"),
+			WithEventDelay(number[time.Duration](d, "event-delay-ms", 0)*time.Millisecond),
+			WithEventLoss(number[float64](d, "event-loss", 0)),
+			WithStatusLag(number[time.Duration](d, "status-lag-ms", 0)*time.Millisecond),
+			WithTimeScale(number[float64](d, "time-scale", 1)),
+			WithDirectory(directory),
+			WithWeightStore(store),
+		))
+	}
+}
+
+// complete sends a request whose prompt is made of named blocks.
+func (h *harness) complete(d *datadriven.TestData) {
+	var prompt strings.Builder
+	for _, name := range strings.Split(argument(d, "blocks", ""), ",") {
+		if name != "" {
+			prompt.WriteString(strings.Repeat(name, amrprompt.BytesPerBlock/len(name)+1)[:amrprompt.BytesPerBlock])
+		}
+	}
+	prompt.WriteString(argument(d, "suffix", ""))
+	weights := argument(d, "weights", "w1")
+	scope := amrprompt.Scope{Team: "recife", Deployment: "m1", WeightsVersion: weights}
+	body := completionRequest{
+		RequestID:      argument(d, "id", ""),
+		Prompt:         prompt.String(),
+		MaxTokens:      number[int](d, "max-tokens", 2),
+		Stream:         argument(d, "stream", "false") == "true",
+		Priority:       number[int](d, "priority", 0),
+		WeightsVersion: weights,
+		ResumeTokens:   number[int](d, "resume-tokens", 0),
+	}
+	for _, k := range amrprompt.Keys(scope, body.Prompt) {
+		body.BlockKeys = append(body.BlockKeys, hex.EncodeToString(k[:]))
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	header := http.Header{"Idempotency-Key": {argument(d, "key", "")}}
+	h.send(body.RequestID, h.engine(d), http.MethodPost, "/v1/completions", string(data), header)
+}
+
+func (h *harness) send(id string, e *Engine, method, path, body string, header http.Header) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	c := &call{recorder: httptest.NewRecorder(), cancel: cancel, state: "open"}
+	h.calls[id] = c
+	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	h.group.Go(func() error {
+		defer func() {
+			c.state = "done"
+			if recover() != nil {
+				c.state = "cut"
+			}
+		}()
+		e.Handler().ServeHTTP(c.recorder, req)
+		return nil
+	})
+}
+
+func (h *harness) answer(id string) string {
+	c := h.calls[id]
+	body := strings.TrimSpace(strings.ReplaceAll(c.recorder.Body.String(), "\n\n", "\n"))
+	return fmt.Sprintf("%s %d\n%s", c.state, c.recorder.Code, body)
+}
+
+func (h *harness) log(e *Engine) string {
+	var b strings.Builder
+	for _, r := range e.Log() {
+		fmt.Fprintf(&b, "%s key=%q at=%v weights=%s prompt=%d cached=%d held=%d completion=%d %s\n", r.RequestID, r.IdempotencyKey,
+			r.At.Sub(h.start), r.Weights, r.PromptTokens, r.CachedTokens, r.HeldTokens, r.CompletionTokens, r.Outcome)
+	}
+	orders := e.Orders()
+	sort.Slice(orders, func(i, j int) bool { return orders[i].At.Before(orders[j].At) })
+	for _, o := range orders {
+		fmt.Fprintf(&b, "order %s %s fence=%d at=%v\n", o.Kind, o.Value, o.Fence, o.At.Sub(h.start))
+	}
+	return b.String()
+}
+
+func (h *harness) state(d *datadriven.TestData) string {
+	s := h.engine(d).State(nil)
+	return fmt.Sprintf("up=%v weights=%s running=%d waiting=%d waiting-tokens=%d wait=%v", s.Up, s.Weights, s.Running, s.Waiting,
+		s.WaitingTokens, s.Wait)
+}
+
+func (h *harness) engine(d *datadriven.TestData) *Engine {
+	return h.engines[number[int](d, "engine", 0)]
+}
+
+func argument(d *datadriven.TestData, name, otherwise string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name {
+			return strings.Join(a.Vals, ",")
+		}
+	}
+	return otherwise
+}
+
+func number[T int | float64 | time.Duration](d *datadriven.TestData, name string, otherwise T) T {
+	text := argument(d, name, "")
+	if text == "" {
+		return otherwise
+	}
+	var n T
+	if err := json.Unmarshal([]byte(text), &n); err != nil {
+		d.Fatalf(nil, "%s: %v", name, err)
+	}
+	return n
+}
--- /dev/null
+++ b/standin/amrengine/events.go
@@ -0,0 +1,159 @@
+package amrengine
+
+import (
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"time"
+
+	"amaranthreach.example/core/amrprompt"
+)
+
+const (
+	maxEvents     = 1 << 16 // Events that are kept.
+	maxEventReply = 1 << 13 // Events in one reply.
+	maxEventWait  = 30 * time.Second
+)
+
+type eventKind string
+
+const (
+	eventStored  eventKind = "stored"
+	eventEvicted eventKind = "evicted"
+	eventCleared eventKind = "cleared"
+)
+
+type cacheEvent struct {
+	seq     uint64
+	kind    eventKind
+	key     amrprompt.Key
+	visible time.Time
+}
+
+// eventLog holds the newest cache events of an incarnation.
+type eventLog struct {
+	lastSeq uint64
+	events  []cacheEvent
+	changed chan struct{} // Closed and replaced when an event is added.
+}
+
+func newEventLog() *eventLog {
+	return &eventLog{changed: make(chan struct{})}
+}
+
+func (l *eventLog) append(kind eventKind, k amrprompt.Key, visible time.Time, lost bool) {
+	l.lastSeq++
+	if lost {
+		return
+	}
+	if len(l.events) >= 2*maxEvents {
+		l.events = append([]cacheEvent(nil), l.events[maxEvents:]...)
+	}
+	l.events = append(l.events, cacheEvent{l.lastSeq, kind, k, visible})
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// after returns the events above seq that are visible, and when the first of
+// the others will be, if there is one.
+func (l *eventLog) after(seq uint64, now time.Time) (visible []cacheEvent, next time.Time) {
+	for i := l.search(seq); i < len(l.events); i++ {
+		ev := l.events[i]
+		if ev.visible.After(now) {
+			return visible, ev.visible
+		}
+		if len(visible) == maxEventReply {
+			return visible, time.Time{}
+		}
+		visible = append(visible, ev)
+	}
+	return visible, time.Time{}
+}
+
+// search returns the index of the first event above seq.
+func (l *eventLog) search(seq uint64) int {
+	low, high := 0, len(l.events)
+	for low < high {
+		if mid := (low + high) / 2; l.events[mid].seq <= seq {
+			low = mid + 1
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
+type eventsReply struct {
+	Incarnation string       `json:"incarnation"`
+	Events      []eventReply `json:"events"`
+}
+
+type eventReply struct {
+	Seq  uint64    `json:"seq"`
+	Kind eventKind `json:"kind"`
+	Key  string    `json:"key,omitempty"`
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	seq, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil && query.Get("after") != "" {
+		writeError(w, http.StatusBadRequest, "after is not a number")
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil && query.Get("wait") != "" {
+		writeError(w, http.StatusBadRequest, "wait is not a duration")
+		return
+	}
+	reply, dead := e.awaitEvents(r, seq, min(wait, maxEventWait))
+	if dead {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+// awaitEvents returns the events above seq as soon as there are some, and at
+// the latest after wait. It reports whether the engine crashed meanwhile.
+func (e *Engine) awaitEvents(r *http.Request, seq uint64, wait time.Duration) (reply eventsReply, dead bool) {
+	clock := e.settings.clock
+	deadline := clock.Now().Add(wait)
+	for {
+		now := clock.Now()
+		e.mu.Lock()
+		events, next := e.events.after(seq, now)
+		changed, died, incarnation := e.events.changed, e.dead, e.incarnation
+		e.mu.Unlock()
+		if len(events) > 0 || !now.Before(deadline) {
+			return newEventsReply(incarnation, events), false
+		}
+		until := deadline
+		if !next.IsZero() && next.Before(until) {
+			until = next
+		}
+		timer := clock.NewTimer(until.Sub(now))
+		select {
+		case <-changed:
+		case <-timer.Chan():
+		case <-died:
+			dead = true
+		case <-r.Context().Done():
+			dead = true
+		}
+		timer.Stop()
+		if dead {
+			return eventsReply{}, true
+		}
+	}
+}
+
+func newEventsReply(incarnation string, events []cacheEvent) eventsReply {
+	reply := eventsReply{Incarnation: incarnation, Events: make([]eventReply, len(events))}
+	for i, ev := range events {
+		reply.Events[i] = eventReply{Seq: ev.seq, Kind: ev.kind}
+		if ev.kind != eventCleared {
+			reply.Events[i].Key = hex.EncodeToString(ev.key[:])
+		}
+	}
+	return reply
+}
