Keep the records in the table with a log that is the audit trail

The entry is the delta and the audit entry at once. A write whose answer was lost is told apart by its token. A follower polls the head for now.

--- /dev/null
+++ b/core/amrconfig/store_test.go
@@ -0,0 +1,164 @@
+package amrconfig_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/core/amrconfig"
+	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/core/amrrecord"
+)
+
+func team(name string, weight int) amrrecord.Record {
+	return amrrecord.Record{Name: name, Spec: amrrecord.Team{Weight: weight}}
+}
+
+func put(records ...amrrecord.Record) amrconfig.Change {
+	return amrconfig.Change{Put: records, Who: "ana", From: "10.0.0.9", Reason: "test"}
+}
+
+func TestApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := t.Context()
+		platform := amrmemory.New()
+		store := amrconfig.NewStore(platform, platform)
+
+		first, err := store.Apply(ctx, put(team("recife", 1), team("olinda", 1)))
+		is.NoErr(err)
+		is.Equal(first, uint64(1))
+		second, err := store.Apply(ctx, put(team("recife", 2)))
+		is.NoErr(err)
+		is.Equal(second, uint64(2))
+		same, err := store.Apply(ctx, put(team("recife", 2)))
+		is.NoErr(err)
+		is.Equal(same, uint64(2)) // Nothing changed.
+
+		other := put(team("olinda", 5))
+		other.Base = 1
+		third, err := store.Apply(ctx, other)
+		is.NoErr(err) // Nobody else changed olinda.
+		is.Equal(third, uint64(3))
+		late := put(team("recife", 9))
+		late.Base = 1
+		_, err = store.Apply(ctx, late)
+		is.True(errorx.IsOfType(err, amrconfig.Conflict))
+
+		set, err := amrconfig.NewStore(platform, platform).Load(ctx)
+		is.NoErr(err)
+		is.Equal(set.Revision(), uint64(3))
+		recife, _ := set.Team("recife")
+		is.Equal(recife.Weight, 2)
+
+		_, err = store.Apply(ctx, put(amrrecord.Record{Name: "b1", Spec: amrrecord.BackendServer{
+			Deployment: "m1", Address: "127.0.0.1:1", AvailabilityZone: "a"}}))
+		is.True(err != nil) // There is no deployment m1.
+		is.True(strings.Contains(err.Error(), "there is no deployment/m1"))
+	})
+}
+
+func TestApplyLostAnswers(t *testing.T) {
+	faults := map[string]amrmemory.Faults{
+		"lost":    {LoseNext: 3},
+		"delayed": {DelayNext: 3},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				platform := amrmemory.New()
+				store := amrconfig.NewStore(platform, platform)
+				platform.SetFaults(fault)
+				for i := range 5 {
+					revision, err := store.Apply(t.Context(), put(team("recife", i+1)))
+					is.NoErr(err)
+					is.Equal(revision, uint64(i+1))
+				}
+			})
+		})
+	}
+}
+
+func TestApplyToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		platform := amrmemory.New()
+		store := amrconfig.NewStore(platform, platform)
+		change := put(team("recife", 1))
+		change.Token = "t1"
+
+		platform.SetFaults(amrmemory.Faults{LostAnswers: 1})
+		revision, err := store.Apply(t.Context(), change)
+		is.NoErr(err) // The read after the lost answer finds the token.
+		is.Equal(revision, uint64(1))
+
+		again, err := store.Apply(t.Context(), change)
+		is.NoErr(err)
+		is.Equal(again, uint64(1)) // The token was applied before.
+	})
+}
+
+// TestApplyRace lets 20 writers race while the table loses answers.
+func TestApplyRace(t *testing.T) {
+	const (
+		writers = 20
+		changes = 10
+		lost    = 0.1
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		platform := amrmemory.New(amrmemory.WithSeed(7))
+		platform.SetFaults(amrmemory.Faults{LostAnswers: lost, Latency: 2 * time.Millisecond})
+		var g errgroup.Group
+		for w := range writers {
+			store := amrconfig.NewStore(platform, platform, amrconfig.WithSeed(uint64(w)))
+			g.Go(func() error {
+				for i := range changes {
+					own := team(fmt.Sprintf("team-%d", w), i+1)
+					if _, err := store.Apply(t.Context(), put(own, team(fmt.Sprintf("last-%d-%d", w, i), 1))); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		is.NoErr(g.Wait())
+
+		store := amrconfig.NewStore(platform, platform)
+		set, err := store.Load(t.Context())
+		is.NoErr(err)
+		is.Equal(set.Revision(), uint64(writers*changes))
+		is.Equal(set.Len(), writers+writers*changes)
+		is.True(platform.Counters().Lost > 0)
+		is.NoErr(store.VerifyAudit(t.Context()))
+	})
+}
+
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		platform := amrmemory.New()
+		store := amrconfig.NewStore(platform, platform)
+		follower := amrconfig.NewFollower(amrconfig.NewStore(platform, platform))
+		var g errgroup.Group
+		g.Go(func() error { return follower.Run(ctx) })
+
+		_, err := store.Apply(ctx, put(team("recife", 1)))
+		is.NoErr(err)
+		time.Sleep(2 * time.Second) //nolint:forbidigo // Fake time of the bubble.
+		is.Equal(follower.Current().Revision(), uint64(1))
+		is.True(!follower.Offer(amrrecord.Set{}))
+		is.Equal(follower.Current().Revision(), uint64(1))
+		cancel()
+		is.NoErr(g.Wait())
+	})
+}
