Thin whole path: router, sidecar, fleet of stand-ins and demonstration

Cause: nothing ran end to end. Change: the callers' interface in goa, the router's sessions over drpc, the sidecar's clients of engines and plain services, an in-process fleet over loopback sockets, the demonstration.

--- /dev/null
+++ b/core/amrsse/writer.go
@@ -0,0 +1,19 @@
+package amrsse
+
+import (
+	"bytes"
+	"io"
+)
+
+// Write writes one event with the data to w.
+func Write(w io.Writer, data []byte) error {
+	var b bytes.Buffer
+	for line := range bytes.SplitSeq(data, []byte("\n")) {
+		b.WriteString("data: ")
+		b.Write(line)
+		b.WriteByte('\n')
+	}
+	b.WriteByte('\n')
+	_, err := w.Write(b.Bytes())
+	return err
+}
--- /dev/null
+++ b/router/amrrouter/callers.go
@@ -0,0 +1,199 @@
+package amrrouter
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+	"goa.design/goa/v3/security"
+
+	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/router/gen/callers"
+)
+
+const (
+	contentTypeJSON   = "application/json"
+	contentTypeEvents = "text/event-stream"
+)
+
+// callersService serves callers.
+type callersService struct {
+	router *Router
+}
+
+type teamKey struct{}
+
+// APIKeyAuth finds the team of a bearer key.
+func (s *callersService) APIKeyAuth(ctx context.Context, key string, _ *security.APIKeyScheme) (context.Context, error) {
+	digest := sha256.Sum256([]byte(key))
+	team, _, ok := s.router.follower.Current().TeamByKey(hex.EncodeToString(digest[:]))
+	if !ok {
+		id := s.router.newID()
+		return ctx, s.router.refused(id, "", refuse(amrreason.Unauthorized, ""))
+	}
+	return context.WithValue(ctx, teamKey{}, team), nil
+}
+
+// Chat answers a chat completion.
+func (s *callersService) Chat(ctx context.Context, p *callers.ChatPayload) (*callers.Answer, io.ReadCloser, error) {
+	return s.answer(ctx, call{
+		deployment:     p.Model,
+		idempotencyKey: p.IdempotencyKey,
+		timeout:        p.Timeout,
+		priority:       p.TrafficPriority,
+		idempotent:     p.Idempotent,
+		prompt:         promptOf(p.Messages),
+		maxTokens:      p.MaxTokens,
+		stream:         p.Stream,
+	}, chatFormat{})
+}
+
+// Complete answers a completion.
+func (s *callersService) Complete(ctx context.Context, p *callers.CompletePayload) (*callers.Answer, io.ReadCloser, error) {
+	return s.answer(ctx, call{
+		deployment:     p.Model,
+		idempotencyKey: p.IdempotencyKey,
+		timeout:        p.Timeout,
+		priority:       p.TrafficPriority,
+		idempotent:     p.Idempotent,
+		prompt:         p.Prompt,
+		maxTokens:      p.MaxTokens,
+		stream:         p.Stream,
+	}, completionFormat{})
+}
+
+// Call passes a call to a plain service.
+func (s *callersService) Call(ctx context.Context, p *callers.CallPayload, body io.ReadCloser) (*callers.Answer, io.ReadCloser, error) {
+	defer body.Close()
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, nil, s.router.refused(s.router.newID(), "", refuse(amrreason.BadRequest, "the body cannot be read"))
+	}
+	contentType := contentTypeJSON
+	if p.ContentType != nil {
+		contentType = *p.ContentType
+	}
+	return s.answer(ctx, call{
+		deployment:     p.Deployment,
+		idempotencyKey: p.IdempotencyKey,
+		timeout:        p.Timeout,
+		priority:       p.TrafficPriority,
+		idempotent:     true,
+		service: &amrgate.ServiceCall{
+			Method:      http.MethodPost,
+			Path:        p.Path,
+			ContentType: contentType,
+			Body:        data,
+		},
+	}, serviceFormat{})
+}
+
+// answer runs a call until its first event, so that a refusal has the status
+// of its reason.
+func (s *callersService) answer(ctx context.Context, c call, f format) (*callers.Answer, io.ReadCloser, error) {
+	id := s.router.newID()
+	c.team, _ = ctx.Value(teamKey{}).(string)
+	q, refused := s.router.newRequest(id, c)
+	if refused != nil {
+		return nil, nil, s.router.refused(id, c.team, refused)
+	}
+	started := s.router.clock.Now()
+	session := s.router.newSession(q)
+	first, refused := session.next(ctx)
+	if refused != nil {
+		return nil, nil, s.router.refused(id, c.team, refused)
+	}
+	s.router.metrics.firstToken.WithLabelValues(c.deployment).Observe(s.router.clock.Since(started).Seconds())
+	body := newBody(ctx, session, f, first)
+	if !c.stream {
+		if refused := body.collect(); refused != nil {
+			return nil, nil, s.router.refused(id, c.team, refused)
+		}
+	}
+	answer := &callers.Answer{RequestID: id, ContentType: body.contentType()}
+	return answer, body, nil
+}
+
+func (r *Router) newID() string {
+	return fmt.Sprintf("%s.%s.%d", r.settings.Name, r.incarnation, r.sequence.Add(1))
+}
+
+func (r *Router) refused(id, team string, refused *refusal) error {
+	r.decisions.refused(id, team, refused, r.clock.Now())
+	r.metrics.refusals.WithLabelValues(string(refused.reason), string(refused.ran)).Inc()
+	r.log.Info("request-refused", "request", id, "team", team, "reason", refused.reason, "ran", refused.ran, "detail", refused.detail)
+	return refused.message(id)
+}
+
+// promptOf returns the text that the engine gets for chat messages.
+func promptOf(messages []*callers.Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+func (s *callersService) encodingFailed(_ context.Context, _ http.ResponseWriter, err error) {
+	s.router.log.Debug("answer-not-written", "error", err)
+}
+
+// format returns the body of a refusal. Errors of the generated code, such as
+// an invalid body, become refusals too.
+func (s *callersService) format(_ context.Context, err error) goahttp.Statuser {
+	var m *callers.Refusal
+	if !errors.As(err, &m) {
+		m = refuse(amrreason.BadRequest, detailOf(err)).message(s.router.newID())
+	}
+	return refusalBody{Error: refusalFields{
+		Message:   m.Refusal.Message,
+		Type:      m.Refusal.Type,
+		Code:      m.Refusal.Code,
+		Ran:       m.Refusal.Ran,
+		Remedy:    m.Refusal.Remedy,
+		Detail:    m.Refusal.Detail,
+		RequestID: m.RequestID,
+	}}
+}
+
+func detailOf(err error) string {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit)
+	}
+	var named *goa.ServiceError
+	if errors.As(err, &named) {
+		return named.Message
+	}
+	return err.Error()
+}
+
+type refusalBody struct {
+	Error refusalFields `json:"error"`
+}
+
+type refusalFields struct {
+	Message   string  `json:"message"`
+	Type      string  `json:"type"`
+	Code      string  `json:"code"`
+	Ran       string  `json:"ran"`
+	Remedy    string  `json:"remedy"`
+	Detail    *string `json:"detail,omitempty"`
+	RequestID string  `json:"request_id"`
+}
+
+// StatusCode returns the status of the refusal's reason.
+func (b refusalBody) StatusCode() int {
+	return amrreason.Of(amrreason.Code(b.Error.Code)).Status
+}
--- /dev/null
+++ b/router/amrrouter/request.go
@@ -0,0 +1,151 @@
+package amrrouter
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrprompt"
+	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrrecord"
+)
+
+// defaultDeadline bounds requests whose caller and policy set no bound.
+const defaultDeadline = 2 * time.Minute
+
+// request is one request of a caller, checked against the records in force.
+type request struct {
+	id             string
+	team           string
+	teamSpec       amrrecord.Team
+	deployment     string
+	deploymentSpec amrrecord.Deployment
+	policy         amrrecord.RoutingPolicy
+	set            amrrecord.Set
+	idempotencyKey string
+	idempotent     bool
+	deadline       time.Time
+	priority       int
+	prompt         string
+	maxTokens      int
+	stream         bool
+	weights        string
+	keys           []amrprompt.Key
+	call           *amrgate.ServiceCall
+}
+
+// call holds what a caller sent, whatever the route.
+type call struct {
+	team           string
+	deployment     string
+	idempotencyKey *string
+	timeout        *string
+	priority       *int
+	idempotent     bool
+	prompt         string
+	maxTokens      int
+	stream         bool
+	service        *amrgate.ServiceCall
+}
+
+// newRequest checks a call against the records in force.
+func (r *Router) newRequest(id string, c call) (*request, *refusal) {
+	set := r.follower.Current()
+	team, ok := set.Team(c.team)
+	if !ok {
+		return nil, refuse(amrreason.Unauthorized, "")
+	}
+	deployment, ok := set.Deployment(c.deployment)
+	if !ok {
+		return nil, refuse(amrreason.UnknownDeployment, c.deployment)
+	}
+	if !allowed(deployment, c.team) {
+		return nil, refuse(amrreason.Forbidden, c.deployment)
+	}
+	policy, _ := set.RoutingPolicy(deployment.RoutingPolicy)
+	q := &request{
+		id:             id,
+		team:           c.team,
+		teamSpec:       team,
+		deployment:     c.deployment,
+		deploymentSpec: deployment,
+		policy:         policy,
+		set:            set,
+		idempotent:     c.idempotent,
+		priority:       team.Priority,
+		prompt:         c.prompt,
+		maxTokens:      c.maxTokens,
+		stream:         c.stream,
+		call:           c.service,
+	}
+	if c.priority != nil {
+		q.priority += *c.priority
+	}
+	if c.idempotencyKey != nil {
+		q.idempotencyKey = *c.idempotencyKey
+	}
+	if refused := q.setDeadline(r.clock.Now(), c.timeout); refused != nil {
+		return nil, refused
+	}
+	return q, q.bind()
+}
+
+// bind derives the weights version and the block keys, and checks that the
+// deployment's type suits the route.
+func (q *request) bind() *refusal {
+	wanted := amrrecord.TypeModel
+	if q.call != nil {
+		wanted = amrrecord.TypeService
+		q.idempotent = q.idempotent && !nonIdempotent(q.deploymentSpec, q.call.GetPath())
+	}
+	if q.deploymentSpec.Type != wanted {
+		return refuse(amrreason.BadRequest, fmt.Sprintf("deployment %s is of type %s", q.deployment, q.deploymentSpec.Type))
+	}
+	if len(q.deploymentSpec.Versions) > 0 {
+		q.weights = q.deploymentSpec.Versions[0].Weights
+	}
+	scope := amrprompt.Scope{Team: q.team, Deployment: q.deployment, WeightsVersion: q.weights}
+	q.keys = amrprompt.Keys(scope, q.prompt)
+	if !q.idempotent && q.idempotencyKey == "" {
+		return refuse(amrreason.KeyRequired, "Idempotency-Key")
+	}
+	return nil
+}
+
+func (q *request) setDeadline(now time.Time, timeout *string) *refusal {
+	limit := q.policy.Deadline
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	if timeout != nil {
+		wanted, err := time.ParseDuration(*timeout)
+		if err != nil || wanted <= 0 {
+			return refuse(amrreason.BadRequest, "Request-Timeout: write a time such as 30s")
+		}
+		limit = min(limit, wanted)
+	}
+	q.deadline = now.Add(limit)
+	return nil
+}
+
+func allowed(deployment amrrecord.Deployment, team string) bool {
+	if len(deployment.Teams) == 0 {
+		return true
+	}
+	for _, name := range deployment.Teams {
+		if name == team {
+			return true
+		}
+	}
+	return false
+}
+
+func nonIdempotent(deployment amrrecord.Deployment, path string) bool {
+	for _, prefix := range deployment.NonIdempotent {
+		if strings.HasPrefix(path, strings.TrimPrefix(prefix, "/")) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/router/amrrouter/router.go
@@ -0,0 +1,245 @@
+// Package amrrouter is the process on the entry hosts. It takes requests of
+// callers, chooses a backend server for each, relays the answer and explains
+// what it did.
+package amrrouter
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	goahttp "goa.design/goa/v3/http"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/core/amrconfig"
+	"amaranthreach.example/core/amrplatform"
+	"amaranthreach.example/core/amrserve"
+	"amaranthreach.example/router/gen/callers"
+	callersserver "amaranthreach.example/router/gen/http/callers/server"
+	operatorsserver "amaranthreach.example/router/gen/http/operators/server"
+	"amaranthreach.example/router/gen/operators"
+)
+
+// Router is the process on an entry host.
+type Router struct {
+	settings    Settings
+	clock       clockwork.Clock
+	log         *slog.Logger
+	incarnation string
+	sequence    atomic.Uint64
+	listeners   Listeners
+	registry    *prometheus.Registry
+	metrics     *metrics
+	follower    *amrconfig.Follower
+	platform    platform
+	gates       *gates
+	chooser     *chooser
+	decisions   *decisions
+
+	mu       sync.Mutex
+	draining bool
+}
+
+// platform is what the router uses of the platform.
+type platform interface {
+	amrplatform.Table
+	amrplatform.Objects
+}
+
+// Listeners are sockets that are open already.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+}
+
+// Option changes a router that New makes.
+type Option func(*Router)
+
+// WithClock sets the clock. The default is the real one.
+func WithClock(clock clockwork.Clock) Option {
+	return func(r *Router) { r.clock = clock }
+}
+
+// WithLogger sets the logger. The default is slog's.
+func WithLogger(log *slog.Logger) Option {
+	return func(r *Router) { r.log = log }
+}
+
+// WithListeners sets sockets to use in place of those that Run would open.
+func WithListeners(listeners Listeners) Option {
+	return func(r *Router) { r.listeners = listeners }
+}
+
+// New returns a router that does not run yet.
+func New(settings Settings, options ...Option) (*Router, error) {
+	r := &Router{
+		settings:    settings,
+		clock:       clockwork.NewRealClock(),
+		log:         slog.Default(),
+		incarnation: uuid.NewString()[:8],
+		registry:    prometheus.NewRegistry(),
+	}
+	for _, option := range options {
+		option(r)
+	}
+	r.log = r.log.With("router", settings.Name)
+	config, err := settings.GateTLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	r.metrics = newMetrics(r.registry)
+	r.gates = newGates(config)
+	r.chooser = newChooser()
+	r.decisions = newDecisions()
+	r.platform = amrplatform.NewClient(settings.PlatformURL)
+	store := amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
+	r.follower = amrconfig.NewFollower(store)
+	return r, nil
+}
+
+// Run runs a router until ctx is done and its requests in progress have
+// finished.
+func Run(ctx context.Context, settings Settings, options ...Option) error {
+	r, err := New(settings, options...)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
+// Run runs the router until ctx is done and its requests in progress have
+// finished, for at most the grace time of the settings.
+func (r *Router) Run(ctx context.Context) error {
+	if err := r.listen(); err != nil {
+		return err
+	}
+	defer r.gates.close()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return ignoreCanceled(r.follower.Run(background)) })
+	group.Go(func() error { return r.serveOperators(background) })
+	group.Go(func() error {
+		defer stop()
+		return r.serveCallers(ctx, background)
+	})
+	r.log.Info("router-started", "incarnation", r.incarnation, "callers", r.listeners.Callers.Addr().String())
+	err := group.Wait()
+	r.log.Info("router-stopped", "error", err)
+	return err
+}
+
+// CallersAddress returns the address that serves callers. It is empty before
+// Run has opened the socket.
+func (r *Router) CallersAddress() string {
+	if r.listeners.Callers == nil {
+		return ""
+	}
+	return r.listeners.Callers.Addr().String()
+}
+
+// Revision returns the revision of the records in force at the router.
+func (r *Router) Revision() uint64 {
+	return r.follower.Current().Revision()
+}
+
+// Ready reports whether the router can serve callers.
+func (r *Router) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.draining && r.follower.Current().Revision() > 0
+}
+
+func (r *Router) listen() error {
+	var err error
+	if r.listeners.Callers == nil {
+		if r.listeners.Callers, err = net.Listen("tcp", r.settings.CallersAddress); err != nil {
+			return err
+		}
+	}
+	if r.listeners.Operators == nil {
+		r.listeners.Operators, err = net.Listen("tcp", r.settings.OperatorsAddress)
+	}
+	return err
+}
+
+// serveCallers serves until ctx is done, then lets requests finish.
+func (r *Router) serveCallers(ctx, background context.Context) error {
+	config, err := r.settings.CallersTLS.Server()
+	if err != nil {
+		return err
+	}
+	serving, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(background, stop)()
+	defer context.AfterFunc(ctx, r.drain)()
+	service := &callersService{router: r}
+	endpoints := callers.NewEndpoints(service)
+	mux := goahttp.NewMuxer()
+	server := callersserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, service.encodingFailed, service.format)
+	server.Mount(mux)
+	limits := amrserve.DefaultLimits
+	limits.BodyBytes = r.settings.BodyBytes
+	return amrserve.HTTP(serving, withTLS(r.listeners.Callers, config), mux, limits, r.settings.StopGrace)
+}
+
+func (r *Router) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	r.log.Info("router-draining")
+}
+
+func (r *Router) serveOperators(ctx context.Context) error {
+	config, err := r.settings.OperatorsTLS.Server()
+	if err != nil {
+		return err
+	}
+	mux := goahttp.NewMuxer()
+	service := &operatorsService{router: r}
+	server := operatorsserver.New(operators.NewEndpoints(service), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	server.Mount(mux)
+	metricsHandler := promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})
+	mux.Handle(http.MethodGet, "/metrics", metricsHandler.ServeHTTP)
+	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle(http.MethodGet, "/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	err = amrserve.HTTP(ctx, withTLS(r.listeners.Operators, config), mux, amrserve.DefaultLimits, time.Second)
+	return ignoreTimeout(err)
+}
+
+func withTLS(listener net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return listener
+	}
+	return tls.NewListener(listener, config)
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func ignoreTimeout(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/router/amrrouter/settings.go
@@ -0,0 +1,68 @@
+package amrrouter
+
+import (
+	"time"
+
+	"amaranthreach.example/core/amrsettings"
+)
+
+// Settings configure a router.
+type Settings struct {
+	Name             string          `yaml:"name"`
+	AvailabilityZone string          `yaml:"availability-zone"`
+	CallersAddress   string          `yaml:"callers-address"`   // Serves callers.
+	OperatorsAddress string          `yaml:"operators-address"` // Serves operators, metrics, healthz and readyz.
+	PlatformURL      string          `yaml:"platform-url"`
+	CallersTLS       amrsettings.TLS `yaml:"callers-tls"`
+	OperatorsTLS     amrsettings.TLS `yaml:"operators-tls"`
+	GateTLS          amrsettings.TLS `yaml:"gate-tls"` // Towards sidecars.
+	BodyBytes        int64           `yaml:"body-bytes"`
+	StopGrace        time.Duration   `yaml:"stop-grace"` // Longest time a stop waits for requests in progress.
+}
+
+// DefaultSettings returns the settings that hold where a file is silent.
+func DefaultSettings() Settings {
+	return Settings{
+		BodyBytes: 8 << 20,
+		StopGrace: time.Minute,
+	}
+}
+
+// Check returns the first broken rule.
+func (s *Settings) Check() error {
+	if err := amrsettings.CheckName("name", s.Name); err != nil {
+		return err
+	}
+	if err := amrsettings.CheckName("availability-zone", s.AvailabilityZone); err != nil {
+		return err
+	}
+	if err := amrsettings.CheckAddress("callers-address", s.CallersAddress); err != nil {
+		return err
+	}
+	if err := amrsettings.CheckAddress("operators-address", s.OperatorsAddress); err != nil {
+		return err
+	}
+	if err := amrsettings.CheckURL("platform-url", s.PlatformURL); err != nil {
+		return err
+	}
+	if err := s.checkBounds(); err != nil {
+		return err
+	}
+	if err := s.CallersTLS.Check("callers-tls", false); err != nil {
+		return err
+	}
+	if err := s.OperatorsTLS.Check("operators-tls", false); err != nil {
+		return err
+	}
+	return s.GateTLS.Check("gate-tls", true)
+}
+
+func (s *Settings) checkBounds() error {
+	if s.BodyBytes < 1<<10 || s.BodyBytes > 64<<20 {
+		return &amrsettings.Problem{Field: "body-bytes", What: "out of range", Remedy: "write a number from 1024 to 67108864"}
+	}
+	if s.StopGrace <= 0 {
+		return &amrsettings.Problem{Field: "stop-grace", What: "must be above zero", Remedy: "write a time such as 1m"}
+	}
+	return nil
+}
--- /dev/null
+++ b/router/design/design.go
@@ -0,0 +1,249 @@
+// Package design describes the HTTP interfaces of the router for the goa
+// generator: one for callers and one for operators.
+package design
+
+import (
+	. "goa.design/goa/v3/dsl" //nolint:revive,staticcheck // The notation of goa.
+)
+
+//go:generate goa gen amaranthreach.example/router/design -o ..
+
+var _ = API("router", func() {
+	Title("Router for language-model traffic")
+	Description("Answers each request once and whole, or refuses it with a true reason.")
+	HTTP(func() {
+		Consumes("application/json")
+		Produces("application/json")
+	})
+})
+
+// bearer is the key of a team.
+var bearer = APIKeySecurity("bearer", func() {
+	Description("The key of a team, as a bearer token.")
+})
+
+// refusalBody is the body of each refusal.
+var refusalBody = Type("RefusalBody", func() {
+	Attribute("message", String, "What happened, in plain words.")
+	Attribute("type", String, "Kind of the refusal, from its HTTP status.")
+	Attribute("code", String, "Reason code.")
+	Attribute("ran", String, "Whether the request ran.", func() {
+		Enum("not-run", "ran", "unknown")
+	})
+	Attribute("remedy", String, "What the caller can do.")
+	Attribute("detail", String, "The field or limit in question.")
+	Attribute("request_id", String, "Identity of the request, for explain.")
+	Required("message", "type", "code", "ran", "remedy", "request_id")
+})
+
+// refusal is the error type of all callers' methods.
+var refusal = Type("Refusal", func() {
+	ErrorName("name", String, "Name of the error.")
+	Attribute("refusal", refusalBody)
+	Attribute("request_id", String, "Identity of the request.")
+	Attribute("retry_after", Int, "Seconds after which to try again.")
+	Required("name", "refusal", "request_id")
+})
+
+type errorStatus struct {
+	name   string
+	status int
+}
+
+var statuses = []errorStatus{
+	{"bad_request", StatusBadRequest},
+	{"unauthorized", StatusUnauthorized},
+	{"forbidden", StatusForbidden},
+	{"not_found", StatusNotFound},
+	{"conflict", StatusConflict},
+	{"too_large", StatusRequestEntityTooLarge},
+	{"unprocessable", StatusUnprocessableEntity},
+	{"too_many_requests", StatusTooManyRequests},
+	{"client_closed", 499},
+	{"internal", StatusInternalServerError},
+	{"bad_gateway", StatusBadGateway},
+	{"service_unavailable", StatusServiceUnavailable},
+	{"gateway_timeout", StatusGatewayTimeout},
+}
+
+func refusals() {
+	for _, s := range statuses {
+		Error(s.name, refusal)
+	}
+}
+
+func refusalResponses() {
+	for _, s := range statuses {
+		Response(s.name, s.status, func() {
+			Header("request_id:X-Request-Id")
+			Header("retry_after:Retry-After")
+		})
+	}
+}
+
+func callHeaders() {
+	APIKey("bearer", "key", String, "Key of the team.")
+	Attribute("idempotency_key", String, "Makes a non-idempotent request run at most once.", func() {
+		MaxLength(256)
+	})
+	Attribute("timeout", String, "Time within which the whole answer is wanted, such as 30s.")
+	Attribute("traffic_priority", Int, "Added to the team's priority; lower runs first.", func() {
+		Minimum(0)
+		Maximum(9)
+	})
+}
+
+func callHTTPHeaders() {
+	Header("key:Authorization")
+	Header("idempotency_key:Idempotency-Key")
+	Header("timeout:Request-Timeout")
+	Header("traffic_priority:Request-Priority")
+}
+
+var answer = Type("Answer", func() {
+	Attribute("request_id", String)
+	Attribute("content_type", String)
+	Attribute("status", String)
+	Required("request_id", "content_type")
+})
+
+func answerResponse() {
+	Response(StatusOK, func() {
+		Header("request_id:X-Request-Id")
+		Header("content_type:Content-Type")
+		Header("status:X-Service-Status")
+	})
+}
+
+var message = Type("Message", func() {
+	Attribute("role", String, func() { MaxLength(64) })
+	Attribute("content", String)
+	Required("role", "content")
+})
+
+func sampling() {
+	Attribute("model", String, "Name of a deployment.", func() { MaxLength(128) })
+	Attribute("stream", Boolean, func() { Default(false) })
+	Attribute("max_tokens", Int, func() {
+		Minimum(1)
+		Maximum(65536)
+		Default(256)
+	})
+	Attribute("idempotent", Boolean, "False for work that must run at most once.", func() { Default(true) })
+}
+
+var _ = Service("callers", func() {
+	Description("Serves callers.")
+	Security(bearer)
+	refusals()
+
+	Method("chat", func() {
+		Payload(func() {
+			callHeaders()
+			sampling()
+			Attribute("messages", ArrayOf(message), func() { MinLength(1) })
+			Required("key", "model", "messages")
+		})
+		Result(answer)
+		HTTP(func() {
+			POST("/v1/chat/completions")
+			callHTTPHeaders()
+			SkipResponseBodyEncodeDecode()
+			answerResponse()
+			refusalResponses()
+		})
+	})
+
+	Method("complete", func() {
+		Payload(func() {
+			callHeaders()
+			sampling()
+			Attribute("prompt", String)
+			Required("key", "model", "prompt")
+		})
+		Result(answer)
+		HTTP(func() {
+			POST("/v1/completions")
+			callHTTPHeaders()
+			SkipResponseBodyEncodeDecode()
+			answerResponse()
+			refusalResponses()
+		})
+	})
+
+	Method("call", func() {
+		Description("Passes a call to a plain service.")
+		Payload(func() {
+			callHeaders()
+			Attribute("deployment", String)
+			Attribute("path", String)
+			Attribute("content_type", String)
+			Required("key", "deployment", "path")
+		})
+		Result(answer)
+		HTTP(func() {
+			POST("/v1/services/{deployment}/{*path}")
+			callHTTPHeaders()
+			Header("content_type:Content-Type")
+			SkipRequestBodyEncodeDecode()
+			SkipResponseBodyEncodeDecode()
+			answerResponse()
+			refusalResponses()
+		})
+	})
+})
+
+var candidate = Type("Candidate", func() {
+	Attribute("backend_server", String)
+	Attribute("cost", String, "Estimated cost as a duration.")
+	Required("backend_server", "cost")
+})
+
+var attempt = Type("Attempt", func() {
+	Attribute("backend_server", String)
+	Attribute("result", String)
+	Required("backend_server", "result")
+})
+
+var explanation = Type("Explanation", func() {
+	Attribute("request_id", String)
+	Attribute("summary", String, "What happened, in plain words.")
+	Attribute("team", String)
+	Attribute("deployment", String)
+	Attribute("revision", UInt64, "Revision of the configuration in force.")
+	Attribute("outcome", String)
+	Attribute("reason", String)
+	Attribute("ran", String)
+	Attribute("prompt_tokens", UInt32)
+	Attribute("cached_tokens", UInt32)
+	Attribute("candidates", ArrayOf(candidate))
+	Attribute("attempts", ArrayOf(attempt))
+	Required("request_id", "summary", "team", "deployment", "revision", "outcome", "reason", "ran", "prompt_tokens", "cached_tokens")
+})
+
+var _ = Service("operators", func() {
+	Description("Serves operators.")
+	Security(bearer)
+	Error("unauthorized")
+	Error("forbidden")
+	Error("not_found")
+	HTTP(func() {
+		Response("unauthorized", StatusUnauthorized)
+		Response("forbidden", StatusForbidden)
+		Response("not_found", StatusNotFound)
+	})
+
+	Method("explain", func() {
+		Payload(func() {
+			APIKey("bearer", "key", String, "Key of a team of operators.")
+			Attribute("id", String, "Identity of the request.")
+			Required("key", "id")
+		})
+		Result(explanation)
+		HTTP(func() {
+			GET("/v1/explain/{id}")
+			Header("key:Authorization")
+			Response(StatusOK)
+		})
+	})
+})
--- /dev/null
+++ b/sidecar/amrsidecar/gate.go
@@ -0,0 +1,274 @@
+package amrsidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrprompt"
+	"amaranthreach.example/core/amrreason"
+)
+
+// gate serves routers.
+type gate struct {
+	amrgate.DRPCGateUnimplementedServer
+
+	sidecar   *Sidecar
+	backend   backend
+	admission *admission
+	metrics   *metrics
+
+	mu       sync.Mutex
+	draining bool
+	revision uint64
+	running  int
+	idleCh   chan struct{} // Closed when draining and nothing is in progress.
+}
+
+func newGate(s *Sidecar) *gate {
+	g := &gate{
+		sidecar:   s,
+		admission: newAdmission(),
+		metrics:   newMetrics(s.registry),
+		idleCh:    make(chan struct{}),
+	}
+	switch s.settings.BackendType {
+	case BackendService:
+		g.backend = newService(s.settings.BackendURL)
+	default:
+		g.backend = newEngine(s.settings.BackendURL, s.clock, s.log)
+	}
+	return g
+}
+
+// Dispatch runs one attempt of a request.
+func (g *gate) Dispatch(request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) error {
+	attempt := newAttempt(g, request, stream)
+	if reason := g.enter(request.GetRevision()); reason != "" {
+		return attempt.decline(reason, 0, 0)
+	}
+	defer g.leave()
+	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(request.GetDeadlineMs())*time.Millisecond)
+	defer cancel()
+	return attempt.run(ctx)
+}
+
+// Report returns the state of the sidecar.
+func (g *gate) Report(_ context.Context, request *amrgate.ReportRequest) (*amrgate.ReportReply, error) {
+	depth := g.admission.cachedBlocks(amrprompt.Unpack(request.GetBlockKeys()))
+	return &amrgate.ReportReply{Load: g.load(), CachedBlocks: uint32(depth)}, nil
+}
+
+// Drain starts or ends draining.
+func (g *gate) Drain(_ context.Context, request *amrgate.DrainRequest) (*amrgate.DrainReply, error) {
+	g.setDraining(request.GetDrain())
+	return &amrgate.DrainReply{InFlight: uint32(g.inFlight())}, nil
+}
+
+func (g *gate) load() *amrgate.Load {
+	state := g.backend.state()
+	load := g.admission.load()
+	load.SidecarIncarnation = g.sidecar.incarnation
+	load.EngineIncarnation = state.incarnation
+	load.BatchLimit = uint32(state.batchLimit)
+	load.PrefillTokensPerSecond = uint32(state.prefillRate)
+	load.WeightsVersion = state.weightsVersion
+	load.Ready = state.ready
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load.Draining = g.draining
+	load.Revision = g.revision
+	return load
+}
+
+// enter counts a request in progress, or returns the reason to decline it.
+func (g *gate) enter(revision uint64) amrreason.Code {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return amrreason.Draining
+	}
+	g.revision = max(g.revision, revision)
+	g.running++
+	return ""
+}
+
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.signalIdle()
+}
+
+func (g *gate) setDraining(draining bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining == draining {
+		return
+	}
+	g.draining = draining
+	if !draining {
+		g.idleCh = make(chan struct{})
+	}
+	g.signalIdle()
+}
+
+func (g *gate) signalIdle() {
+	if !g.draining || g.running > 0 {
+		return
+	}
+	select {
+	case <-g.idleCh:
+	default:
+		close(g.idleCh)
+	}
+}
+
+func (g *gate) idle() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idleCh
+}
+
+func (g *gate) inFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running
+}
+
+func (g *gate) ready() bool {
+	g.mu.Lock()
+	draining := g.draining
+	g.mu.Unlock()
+	return !draining && g.backend.state().ready
+}
+
+// attempt is one dispatch in progress.
+type attempt struct {
+	gate     *gate
+	request  *amrgate.DispatchRequest
+	stream   amrgate.DRPCGate_DispatchStream
+	digest   *xxh3.Hasher
+	sequence uint64
+	reported time.Time
+}
+
+func newAttempt(g *gate, request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) *attempt {
+	return &attempt{gate: g, request: request, stream: stream, digest: xxh3.New()}
+}
+
+func (a *attempt) run(ctx context.Context) error {
+	ticket, refused := a.gate.admission.enter(a.request)
+	if refused != "" {
+		return a.decline(refused, ticket.wait, ticket.cachedTokens)
+	}
+	defer a.gate.admission.leave(ticket)
+	err := a.send(&amrgate.DispatchReply{
+		Event: &amrgate.DispatchReply_Accepted{Accepted: &amrgate.Accepted{
+			WaitMs:       ticket.wait.Milliseconds(),
+			CachedTokens: uint32(ticket.cachedTokens),
+		}},
+		Load: a.gate.load(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := a.gate.admission.wait(ctx, ticket); err != nil {
+		return a.fail(failure{reason: amrreason.DeadlineExceeded, ran: amrreason.NotRun})
+	}
+	end, err := a.gate.backend.run(ctx, a.request, func(p piece) error {
+		a.gate.admission.progressed(ticket)
+		return a.chunk(p)
+	})
+	if err != nil {
+		return a.fail(failureOf(ctx, err))
+	}
+	a.gate.admission.finished(ticket, end)
+	return a.end(end)
+}
+
+func (a *attempt) chunk(p piece) error {
+	a.sequence++
+	_, _ = a.digest.WriteString(p.text)
+	_, _ = a.digest.Write(p.body)
+	reply := &amrgate.DispatchReply{Event: &amrgate.DispatchReply_Chunk{Chunk: &amrgate.Chunk{
+		Attempt: a.request.GetAttempt(),
+		Seq:     a.sequence,
+		Text:    p.text,
+		Body:    p.body,
+		Tokens:  uint32(p.tokens),
+	}}}
+	interval := time.Duration(a.request.GetReportIntervalMs()) * time.Millisecond
+	if now := a.gate.sidecar.clock.Now(); interval > 0 && now.Sub(a.reported) >= interval {
+		a.reported = now
+		reply.Load = a.gate.load()
+	}
+	return a.send(reply)
+}
+
+func (a *attempt) end(end result) error {
+	a.gate.metrics.attempts.WithLabelValues("finished", "").Inc()
+	return a.send(&amrgate.DispatchReply{
+		Event: &amrgate.DispatchReply_End{End: &amrgate.End{
+			Attempt:          a.request.GetAttempt(),
+			Chunks:           a.sequence,
+			Digest:           a.digest.Sum64(),
+			FinishReason:     end.finishReason,
+			PromptTokens:     uint32(end.promptTokens),
+			CachedTokens:     uint32(end.cachedTokens),
+			CompletionTokens: uint32(end.completionTokens),
+			Status:           int32(end.status),
+			ContentType:      end.contentType,
+		}},
+		Load: a.gate.load(),
+	})
+}
+
+func (a *attempt) decline(reason amrreason.Code, wait time.Duration, cachedTokens int) error {
+	a.gate.metrics.attempts.WithLabelValues("declined", string(reason)).Inc()
+	return a.send(&amrgate.DispatchReply{
+		Event: &amrgate.DispatchReply_Declined{Declined: &amrgate.Declined{
+			Reason:       string(reason),
+			WaitMs:       wait.Milliseconds(),
+			RetryAfterMs: wait.Milliseconds(),
+			CachedTokens: uint32(cachedTokens),
+		}},
+		Load: a.gate.load(),
+	})
+}
+
+func (a *attempt) fail(f failure) error {
+	a.gate.metrics.attempts.WithLabelValues("failed", string(f.reason)).Inc()
+	return a.send(&amrgate.DispatchReply{
+		Event: &amrgate.DispatchReply_Failed{Failed: &amrgate.Failed{
+			Attempt:    a.request.GetAttempt(),
+			Reason:     string(f.reason),
+			Ran:        string(f.ran),
+			EngineLost: f.reason == amrreason.EngineLost,
+		}},
+		Load: a.gate.load(),
+	})
+}
+
+func (a *attempt) send(reply *amrgate.DispatchReply) error {
+	return a.stream.Send(reply)
+}
+
+// failureOf says how an attempt ended that the backend server did not finish.
+func failureOf(ctx context.Context, err error) failure {
+	var f failure
+	if errors.As(err, &f) {
+		return f
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure{reason: amrreason.DeadlineExceeded, ran: amrreason.Unknown}
+	}
+	if ctx.Err() != nil {
+		return failure{reason: amrreason.Canceled, ran: amrreason.Unknown}
+	}
+	return failure{reason: amrreason.EngineLost, ran: amrreason.Unknown}
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,54 @@
+// Command standin runs stand-ins of the systems around the router: a
+// demonstration, replays of traces and load.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"amaranthreach.example/standin/amrdemo"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+func command() *cobra.Command {
+	c := &cobra.Command{
+		Use:           "standin",
+		Short:         "Run stand-ins of the systems around the router",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	c.AddCommand(demoCommand())
+	return c
+}
+
+func demoCommand() *cobra.Command {
+	var keep bool
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Show the whole path on a fleet in this process",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return amrdemo.New(cmd.OutOrStdout(), amrdemo.WithKeep(keep)).Run(cmd.Context())
+		},
+	}
+	c.Flags().BoolVar(&keep, "keep", false, "keep serving until interrupted")
+	return c
+}
