--- /dev/null
+++ b/standin/amrtrace/command.go
@@ -0,0 +1,44 @@
+package amrtrace
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+const (
+	defaultEngines         = 12
+	defaultTokensPerSecond = 20000
+)
+
+// Command returns the command "trace", which makes a trace.
+func Command() *cobra.Command {
+	p := Parameters{TokensPerSecond: defaultTokensPerSecond}
+	var seconds float64
+	c := &cobra.Command{
+		Use:   "trace",
+		Short: "Make a trace of requests and write it as JSON lines",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			p.Duration = time.Duration(seconds * float64(time.Second))
+			requests, err := Make(p)
+			if err != nil {
+				return err
+			}
+			distinct := DistinctBlocks(requests)
+			ideal := NewIdeal(requests, distinct/cacheShare, 0)
+			fmt.Fprintf(c.ErrOrStderr(), "requests=%d distinct-blocks=%d ideal-hit-rate=%.3f\n", len(requests), distinct, ideal.HitRate())
+			return Write(c.OutOrStdout(), requests)
+		},
+	}
+	flags := c.Flags()
+	flags.StringVar(&p.Workload, "workload", Mandacaru, "mandacaru or ledoslik")
+	flags.Float64Var(&p.Load, "load", 0.75, "share of the fleet's prefill speed that the ideal's uncached tokens fill")
+	flags.Float64Var(&seconds, "seconds", 60, "length of the trace")
+	flags.Uint64Var(&p.Seed, "seed", 1, "seed of the random numbers")
+	flags.IntVar(&p.Engines, "engines", defaultEngines, "number of engines in the fleet")
+	flags.StringVar(&p.SurgeTeam, "surge-team", "", "team that sends more in the middle third of the trace")
+	flags.Float64Var(&p.SurgeFactor, "surge-factor", 5, "how many times its share the surging team sends")
+	return c
+}
--- /dev/null
+++ b/standin/amrtrace/prompt.go
@@ -0,0 +1,57 @@
+package amrtrace
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/zeebo/xxh3"
+
+	"amaranthreach.example/core/amrprompt"
+)
+
+// Prompt returns the text of the request's prompt. The suffix is text of its
+// own for each line, but the same for lines with the same idempotency key.
+func (r Request) Prompt() string {
+	text := make([]byte, 0, r.PromptTokens()*amrprompt.BytesPerToken)
+	for depth, l := range r.Prefix {
+		outer := Request{Team: r.Team, Prefix: r.Prefix[:depth+1]}
+		text = appendText(text, outer.path(), l.Tokens)
+	}
+	path := r.path()
+	if r.Key != "" {
+		path += "\x00key\x00" + r.Key
+	} else {
+		path += "\x00line\x00" + strconv.Itoa(r.Line)
+	}
+	return string(appendText(text, path, r.SuffixTokens))
+}
+
+// path names the team and the levels of the prefix.
+func (r Request) path() string {
+	path := r.Team
+	for _, l := range r.Prefix {
+		path += "\x00" + l.Name
+	}
+	return path
+}
+
+const (
+	letters       = "abcdefghijklmnop"
+	lettersMask   = uint64(len(letters) - 1)
+	bitsPerLetter = 4
+)
+
+// appendText appends words of three letters, one for each token.
+func appendText(text []byte, seed string, tokens int) []byte {
+	hash := xxh3.HashString128(seed)
+	source := rand.NewPCG(hash.Hi, hash.Lo)
+	for range tokens {
+		n := source.Uint64()
+		text = append(text,
+			letters[n&lettersMask],
+			letters[n>>bitsPerLetter&lettersMask],
+			letters[n>>(2*bitsPerLetter)&lettersMask],
+			' ')
+	}
+	return text
+}
