Keep old and new records in force side by side

A record with a rollout stands beside the one in force everywhere, for some availability zones or for a share of the requests. A record of a schema version that the program does not know is kept and passed on, and the newest known one stays in force.

--- a/core/amrrecord/codec.go
+++ b/core/amrrecord/codec.go
@@ -18,53 +18,63 @@
 	var b bytes.Buffer
 	encoder := yaml.NewEncoder(&b)
 	encoder.SetIndent(2)
-	err = encoder.Encode(yamlDocument{r.Kind(), r.schemaVersion(), r.Name, w})
+	err = encoder.Encode(yamlDocument{r.Kind(), r.schemaVersion(), r.Name, r.Rollout, w})
 	return b.Bytes(), err
 }
 
 type yamlDocument struct {
-	Kind          Kind   `yaml:"kind"`
-	SchemaVersion int    `yaml:"schema-version"`
-	Name          string `yaml:"name"`
-	Spec          wire   `yaml:"spec"`
+	Kind          Kind    `yaml:"kind"`
+	SchemaVersion int     `yaml:"schema-version"`
+	Name          string  `yaml:"name"`
+	Rollout       Rollout `yaml:"rollout,omitempty"`
+	Spec          wire    `yaml:"spec"`
 }
 
 type jsonDocument struct {
 	Kind          Kind            `json:"kind"`
 	SchemaVersion int             `json:"schema-version"`
 	Name          string          `json:"name"`
+	Rollout       Rollout         `json:"rollout,omitzero"`
 	Spec          json.RawMessage `json:"spec"`
 }
 
 // MarshalJSON implements json.Marshaler.
 func (r Record) MarshalJSON() ([]byte, error) {
-	w, err := r.wire()
+	spec, err := r.specJSON()
 	if err != nil {
 		return nil, err
 	}
-	spec, err := json.Marshal(w)
+	return json.Marshal(jsonDocument{r.Kind(), r.schemaVersion(), r.Name, r.Rollout, spec})
+}
+
+func (r Record) specJSON() (json.RawMessage, error) {
+	if o, ok := r.Spec.(opaque); ok {
+		return o.data, nil
+	}
+	w, err := r.wire()
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(jsonDocument{r.Kind(), r.schemaVersion(), r.Name, spec})
+	return json.Marshal(w)
 }
 
-// UnmarshalJSON implements json.Unmarshaler. It returns an error of kind
-// UnknownSchema for a schema version that this program does not know.
+// UnmarshalJSON implements json.Unmarshaler. It keeps the spec of a kind or
+// schema version that this program does not know as it is.
 func (r *Record) UnmarshalJSON(data []byte) error {
 	var d jsonDocument
 	if err := json.Unmarshal(data, &d); err != nil {
 		return err
 	}
+	*r = Record{Name: d.Name, SchemaVersion: d.SchemaVersion, Rollout: d.Rollout, Spec: opaque{d.Kind, d.Spec}}
 	s, err := schemaOf(d.Kind, d.SchemaVersion)
 	if err != nil {
-		return err
+		return nil
 	}
 	w := s.newWire()
 	if err := json.Unmarshal(d.Spec, w); err != nil {
 		return err
 	}
-	*r = Record{Name: d.Name, SchemaVersion: d.SchemaVersion, Spec: w.spec()}
+	r.Spec = w.spec()
 	return nil
 }
 
@@ -77,7 +87,7 @@
 func (s Set) MarshalBinary() ([]byte, error) {
 	var b bytes.Buffer
 	zip := gzip.NewWriter(&b)
-	if err := json.NewEncoder(zip).Encode(jsonSet{s.Revision(), s.Records()}); err != nil {
+	if err := json.NewEncoder(zip).Encode(jsonSet{s.Revision(), s.Variants()}); err != nil {
 		return nil, err
 	}
 	if err := zip.Close(); err != nil {
@@ -86,7 +96,8 @@
 	return b.Bytes(), nil
 }
 
-// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+// UnmarshalBinary implements encoding.BinaryUnmarshaler. It keeps the
+// availability zone of the set.
 func (s *Set) UnmarshalBinary(data []byte) error {
 	zip, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
@@ -100,6 +111,6 @@
 	if err := json.Unmarshal(text, &all); err != nil {
 		return err
 	}
-	*s = Set{}.With(all.Records...).WithRevision(all.Revision)
+	*s = Set{zone: s.zone}.With(all.Records...).WithRevision(all.Revision)
 	return nil
 }
--- a/core/amrrecord/parse.go
+++ b/core/amrrecord/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding"
 	"errors"
 	"fmt"
@@ -51,6 +52,7 @@
 	Kind          Kind      `yaml:"kind"`
 	SchemaVersion int       `yaml:"schema-version"`
 	Name          string    `yaml:"name"`
+	Rollout       Rollout   `yaml:"rollout"`
 	Spec          yaml.Node `yaml:"spec"`
 }
 
@@ -78,7 +80,13 @@
 	if !c.decode(&h.Spec, w) {
 		return Record{}, c.err()
 	}
-	r := Record{Name: h.Name, SchemaVersion: h.SchemaVersion, Spec: w.spec(), position: Position{file, root.Line}}
+	r := Record{
+		Name:          h.Name,
+		SchemaVersion: h.SchemaVersion,
+		Rollout:       h.Rollout,
+		Spec:          w.spec(),
+		position:      Position{file, root.Line},
+	}
 	return r, c.validate(r, root, &h.Spec)
 }
 
@@ -113,13 +121,10 @@
 
 // validate checks the ranges of the record's fields.
 func (c *checker) validate(r Record, root, spec *yaml.Node) error {
-	if !namePattern.MatchString(r.Name) {
-		c.fail(lookup(root, "name"), "name", "use up to 128 lower-case letters, digits, dots and hyphens")
-	}
-	for _, p := range r.Spec.problems() {
+	for _, p := range r.problems() {
 		node := lookup(spec, p.field)
 		if node == nil {
-			node = spec
+			node = cmp.Or(lookup(root, p.field), spec)
 		}
 		c.fail(node, p.field, "%s", p.message)
 	}
--- a/core/amrrecord/record.go
+++ b/core/amrrecord/record.go
@@ -14,6 +14,7 @@
 type Record struct {
 	Name          string
 	SchemaVersion int // Version it is written in; 0 means the newest.
+	Rollout       Rollout
 	Spec          Spec
 
 	position Position
--- a/core/amrrecord/record_test.go
+++ b/core/amrrecord/record_test.go
@@ -71,23 +71,23 @@
 	is := is.New(t)
 	digest := strings.Repeat("ab", 32)
 	team := amrrecord.Record{Name: "recife", Spec: amrrecord.Team{KeySHA256: []string{digest}}}
-	server := func(name, deployment string) amrrecord.Record {
+	of := func(name, deployment string) amrrecord.Record {
 		return amrrecord.Record{Name: name, Spec: amrrecord.BackendServer{Deployment: deployment}}
 	}
-	old := amrrecord.Set{}.With(team, server("b2", "m1"), server("b1", "m1"))
-	moved := old.With(server("b1", "m2"))
+	old := amrrecord.Set{}.With(team, of("b2", "m1"), of("b1", "m1"))
+	moved := old.With(of("b1", "m2"))
 
 	name, _, ok := old.TeamByKey(digest)
 	is.True(ok)
 	is.Equal(name, "recife")
-	is.Equal(old.BackendServers("m1"), []amrrecord.Record{server("b1", "m1"), server("b2", "m1")})
-	is.Equal(moved.BackendServers("m1"), []amrrecord.Record{server("b2", "m1")})
-	is.Equal(moved.BackendServers("m2"), []amrrecord.Record{server("b1", "m2")})
+	is.Equal(old.BackendServers("m1"), []amrrecord.Record{of("b1", "m1"), of("b2", "m1")})
+	is.Equal(moved.BackendServers("m1"), []amrrecord.Record{of("b2", "m1")})
+	is.Equal(moved.BackendServers("m2"), []amrrecord.Record{of("b1", "m2")})
 	is.Equal(moved.Len(), 3)
 
 	_, _, ok = old.With(amrrecord.Record{Name: "recife", Spec: amrrecord.Team{}}).TeamByKey(digest)
 	is.True(!ok) // The key was taken from the team.
-	is.Equal(len(moved.Without(server("b1", "").ID()).BackendServers("m2")), 0)
+	is.Equal(len(moved.Without(of("b1", "").ID()).BackendServers("m2")), 0)
 }
 
 func TestSnapshot(t *testing.T) {
@@ -132,3 +132,29 @@
 		}
 	})
 }
+
+// BenchmarkSetWith changes one backend server of 12,000 beside 2,800 teams.
+func BenchmarkSetWith(b *testing.B) {
+	const (
+		servers     = 12000
+		teams       = 2800
+		deployments = 7
+	)
+	var records []amrrecord.Record
+	for i := range servers {
+		records = append(records, server(i, deployments, false))
+	}
+	for i := range teams {
+		records = append(records, amrrecord.Record{Name: fmt.Sprint("t", i), Spec: amrrecord.Team{KeySHA256: []string{fmt.Sprint(i)}}})
+	}
+	set := amrrecord.Set{}.With(records...)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		set = set.With(server(i%servers, deployments, i/servers%2 == 0))
+	}
+}
+
+func server(i, deployments int, drain bool) amrrecord.Record {
+	return amrrecord.Record{Name: fmt.Sprint("b", i), Spec: amrrecord.BackendServer{
+		Deployment: fmt.Sprint("m", i%deployments), Address: "10.0.0.1:7000", AvailabilityZone: "a", Drain: drain}}
+}
--- a/core/amrrecord/schema.go
+++ b/core/amrrecord/schema.go
@@ -51,6 +51,9 @@
 }
 
 func (r Record) wire() (wire, error) {
+	if !r.Known() {
+		return nil, UnknownSchema.New("%s is written in schema version %d; update this program to show it", r.ID(), r.SchemaVersion)
+	}
 	s, err := schemaOf(r.Kind(), r.schemaVersion())
 	if err != nil {
 		return nil, err
--- a/core/amrrecord/set.go
+++ b/core/amrrecord/set.go
@@ -5,14 +5,18 @@
 	"slices"
 )
 
-// Set is an immutable set of records at one revision. The zero value is the
-// empty set at revision 0. A changed copy shares all that did not change.
+// Set is an immutable set of records at one revision, as it is in force in one
+// availability zone. The zero value is the empty set at revision 0. A changed
+// copy shares all that did not change.
 type Set struct {
 	revision uint64
+	zone     string
 	count    int
-	records  shardedMap[Record]
+	variants shardedMap[variants]
+	records  shardedMap[Record]   // In force, by identity.
 	teams    shardedMap[string]   // Names of teams by key digest.
 	servers  shardedMap[[]Record] // Backend servers by deployment, in name order.
+	partial  []ID                 // Being rolled out to a share of the requests.
 }
 
 // Revision returns the revision of the set.
@@ -26,7 +30,17 @@
 	return s
 }
 
-// With returns the set with the records added or replaced.
+// WithAvailabilityZone returns the set as it is in force in the availability
+// zone.
+func (s Set) WithAvailabilityZone(zone string) Set {
+	if s.zone == zone {
+		return s
+	}
+	return Set{revision: s.revision, zone: zone}.With(s.Variants()...)
+}
+
+// With returns the set with the records added or replaced. A record with a
+// rollout stands beside the one that is in force everywhere.
 func (s Set) With(records ...Record) Set {
 	e := newSetEdit(s)
 	for _, r := range records {
@@ -44,25 +58,59 @@
 	return e.done()
 }
 
-// Len returns the number of records.
+// For returns the set as it is in force for the request. It differs from s
+// only while a record is being rolled out to a share of the requests.
+func (s Set) For(request string) Set {
+	if len(s.partial) == 0 {
+		return s
+	}
+	e := newSetEdit(s)
+	for _, id := range s.partial {
+		v, _ := s.variants.get(id.String())
+		if r, ok := v.rolling(); ok && r.Rollout.takes(id, request) {
+			e.replace(id, r, true)
+		}
+	}
+	return e.done()
+}
+
+// Len returns the number of records in force.
 func (s Set) Len() int {
 	return s.count
 }
 
-// Get returns the record with the identity.
+// Get returns the record in force with the identity.
 func (s Set) Get(id ID) (Record, bool) {
 	return s.records.get(id.String())
 }
 
-// Records returns all records, ordered by kind and name.
+// Records returns all records in force, ordered by kind and name.
 func (s Set) Records() []Record {
 	all := make([]Record, 0, s.count)
 	for _, r := range s.records.all {
 		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Kind(), b.Kind()), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(all, compareID)
+	return all
+}
+
+// Variants returns all records, with those that stand beside others: first
+// those in force everywhere in the order of their schema versions, then the
+// one that is being rolled out. The records are ordered by kind and name. With
+// ids it returns only the records of these identities.
+func (s Set) Variants(ids ...ID) []Record {
+	var all []Record
+	for _, id := range ids {
+		v, _ := s.variants.get(id.String())
+		all = append(all, v...)
+	}
+	if len(ids) > 0 {
+		return all
+	}
+	for _, v := range s.variants.all {
+		all = append(all, v...)
+	}
+	slices.SortStableFunc(all, compareID)
 	return all
 }
 
@@ -110,77 +158,6 @@
 	return spec, ok
 }
 
-// setEdit gathers changes to a set and keeps its indexes.
-type setEdit struct {
-	set     Set
-	records *shardedEdit[Record]
-	teams   *shardedEdit[string]
-	servers *shardedEdit[[]Record]
-	touched map[string]bool // Deployments whose slice of servers is a copy.
-}
-
-func newSetEdit(s Set) *setEdit {
-	return &setEdit{s, s.records.edit(), s.teams.edit(), s.servers.edit(), map[string]bool{}}
-}
-
-func (e *setEdit) put(r Record) {
-	e.remove(r.ID())
-	e.set.count++
-	e.records.put(r.ID().String(), r)
-	switch spec := r.Spec.(type) {
-	case Team:
-		for _, digest := range spec.KeySHA256 {
-			e.teams.put(digest, r.Name)
-		}
-	case BackendServer:
-		servers := e.serversOf(spec.Deployment)
-		i, _ := slices.BinarySearchFunc(servers, r.Name, compareName)
-		e.servers.put(spec.Deployment, slices.Insert(servers, i, r))
-	case Deployment, RoutingPolicy:
-	}
-}
-
-func (e *setEdit) remove(id ID) {
-	r, ok := e.records.get(id.String())
-	if !ok {
-		return
-	}
-	e.set.count--
-	e.records.remove(id.String())
-	switch spec := r.Spec.(type) {
-	case Team:
-		for _, digest := range spec.KeySHA256 {
-			if owner, _ := e.teams.get(digest); owner == id.Name {
-				e.teams.remove(digest)
-			}
-		}
-	case BackendServer:
-		servers := e.serversOf(spec.Deployment)
-		if i, found := slices.BinarySearchFunc(servers, id.Name, compareName); found {
-			e.servers.put(spec.Deployment, slices.Delete(servers, i, i+1))
-		}
-	case Deployment, RoutingPolicy:
-	}
-}
-
-func (e *setEdit) done() Set {
-	e.set.records = e.records.done()
-	e.set.teams = e.teams.done()
-	e.set.servers = e.servers.done()
-	return e.set
-}
-
-// serversOf returns a copy of the deployment's servers that the edit may
-// change.
-func (e *setEdit) serversOf(deployment string) []Record {
-	servers, _ := e.servers.get(deployment)
-	if !e.touched[deployment] {
-		e.touched[deployment] = true
-		servers = slices.Clone(servers)
-	}
-	return servers
-}
-
-func compareName(r Record, name string) int {
-	return cmp.Compare(r.Name, name)
+func compareID(a, b Record) int {
+	return cmp.Or(cmp.Compare(a.Kind(), b.Kind()), cmp.Compare(a.Name, b.Name))
 }
--- a/core/amrrecord/validate.go
+++ b/core/amrrecord/validate.go
@@ -20,16 +20,21 @@
 // ValidateRecord checks the name and the fields of one record.
 func ValidateRecord(r Record) error {
 	var errs []error
-	if !namePattern.MatchString(r.Name) {
-		errs = append(errs, r.invalid("name", fmt.Sprintf("%q is no name; use up to 128 lower-case letters, digits, dots and hyphens", r.Name)))
-	}
-	for _, p := range r.Spec.problems() {
-		errs = append(errs, r.invalid(p.field, p.message))
+	for _, p := range r.problems() {
+		errs = append(errs, Invalid.New("%s%s: %s: %s", r.prefix(), r.ID(), p.field, p.message))
 	}
 	return errors.Join(errs...)
 }
 
-// ValidateReferences checks that the records that r names are in the set.
+func (r Record) problems() []problem {
+	var p problems
+	p.check(namePattern.MatchString(r.Name), "name", "%q is no name; use up to 128 lower-case letters, digits, dots and hyphens", r.Name)
+	p.between("rollout", r.Rollout.Share, 0, 100)
+	return append(p, r.Spec.problems()...)
+}
+
+// ValidateReferences checks that the records that r names are in the set,
+// and that no other team has its keys.
 func (s Set) ValidateReferences(r Record) error {
 	var errs []error
 	refer := func(field string, id ID) {
@@ -39,7 +44,14 @@
 		}
 	}
 	switch spec := r.Spec.(type) {
-	case Team, RoutingPolicy:
+	case Team:
+		for _, digest := range spec.KeySHA256 {
+			if owner, _, ok := s.TeamByKey(digest); ok && owner != r.Name {
+				errs = append(errs, Invalid.New("%s%s: key-sha256: the key %s belongs to team/%s too; give each team keys of its own",
+					r.prefix(), r.ID(), digest, owner))
+			}
+		}
+	case RoutingPolicy:
 	case Deployment:
 		refer("routing-policy", ID{KindRoutingPolicy, spec.RoutingPolicy})
 		for _, team := range spec.Teams {
@@ -53,10 +65,6 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,126}[a-z0-9])?$`)
 
-func (r Record) invalid(field, message string) error {
-	return Invalid.New("%s%s: %s: %s", r.prefix(), r.ID(), field, message)
-}
-
 func (r Record) prefix() string {
 	if r.position.File == "" {
 		return ""
