--- a/core/amraudit/entry.go
+++ b/core/amraudit/entry.go
@@ -23,11 +23,13 @@
 	Digest   string    `json:"digest"`
 }
 
-// Change is what an entry did to one record.
+// Change is what an entry did to one record: the documents that stood under
+// its identity before and after. There are several while old and new versions
+// are in force side by side.
 type Change struct {
-	Record string          `json:"record"`           // Kind and name.
-	Before json.RawMessage `json:"before,omitempty"` // Nothing for a new record.
-	After  json.RawMessage `json:"after,omitempty"`  // Nothing for a deleted record.
+	Record string            `json:"record"` // Kind and name.
+	Before []json.RawMessage `json:"before,omitempty"`
+	After  []json.RawMessage `json:"after,omitempty"`
 }
 
 // Sealed returns the entry with the digests that chain it to the one before.
@@ -38,21 +40,21 @@
 	return e, err
 }
 
-// Verify checks that the entry is what was sealed and that it follows an entry
-// of the given digest and revision.
-func (e Entry) Verify(revision uint64, digest string) error {
-	if e.Revision != revision+1 {
-		return Gap.New("entry %d follows entry %d; restore the entries between them from a backup of the platform's services", e.Revision, revision)
+// verify checks that the entry is what was sealed and that it follows the
+// chain.
+func (e Entry) verify(c Chain) error {
+	if e.Revision != c.Revision+1 {
+		return Gap.New("entry %d follows entry %d; restore the entries between them from a backup", e.Revision, c.Revision)
 	}
 	own, err := e.digest()
 	if err != nil {
 		return err
 	}
 	if own != e.Digest {
-		return Edited.New("entry %d was changed after it was written; compare it with a backup and find who can write to the table", e.Revision)
+		return Edited.New("entry %d was changed after it was written; compare it with a backup and find out who can write to the table", e.Revision)
 	}
-	if e.Previous != digest {
-		return Edited.New("entry %d does not follow the entry %d that stands before it; compare both with a backup", e.Revision, revision)
+	if e.Previous != c.Digest {
+		return Edited.New("entry %d does not follow the entry %d that stands before it; compare both with a backup", e.Revision, c.Revision)
 	}
 	return nil
 }
--- a/core/amrconfig/change.go
+++ b/core/amrconfig/change.go
@@ -5,23 +5,37 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"amaranthreach.example/core/amraudit"
 	"amaranthreach.example/core/amrrecord"
 )
 
-// Change is an amendment that is applied whole or not at all.
+// Change is an amendment that is applied whole or not at all. What it deletes
+// goes before what it puts.
 type Change struct {
 	Token  string // Identifies the change; applied again it has no effect. Empty for a new one.
 	Base   uint64 // Revision the writer saw; 0 to write over whatever stands.
 	Put    []amrrecord.Record
 	Delete []amrrecord.ID
 	Who    string
-	From   string
+	From   string // Address that the change comes from.
 	Reason string
 }
 
+// Preview returns what the change would do to the set, record by record, and
+// whether the records would be valid. It leaves out records that stay as they
+// are.
+func (c Change) Preview(set amrrecord.Set) ([]amraudit.Change, error) {
+	next := set.Without(c.Delete...).With(c.Put...)
+	changes, err := differences(set, next, c.ids())
+	if err != nil {
+		return nil, err
+	}
+	return changes, c.validate(next)
+}
+
 func (c Change) check() error {
 	switch {
 	case c.Who == "":
@@ -33,15 +47,18 @@
 	}
 }
 
-func (c Change) ids() map[string]bool {
-	ids := map[string]bool{}
+// ids returns the identities that the change touches, each once.
+func (c Change) ids() []amrrecord.ID {
+	ids := slices.Clone(c.Delete)
+	seen := map[amrrecord.ID]bool{}
 	for _, r := range c.Put {
-		ids[r.ID().String()] = true
-	}
-	for _, id := range c.Delete {
-		ids[id.String()] = true
+		ids = append(ids, r.ID())
 	}
-	return ids
+	return slices.DeleteFunc(ids, func(id amrrecord.ID) bool {
+		twice := seen[id]
+		seen[id] = true
+		return twice
+	})
 }
 
 // validate checks the changed records of the set, and that no record refers to
@@ -59,58 +76,71 @@
 	return errors.Join(errs...)
 }
 
-// differences returns what the change does to the set, without the records
-// that stay as they are.
-func (c Change) differences(set amrrecord.Set) ([]amraudit.Change, error) {
+func differences(before, after amrrecord.Set, ids []amrrecord.ID) ([]amraudit.Change, error) {
 	var changes []amraudit.Change
-	for _, r := range c.Put {
-		after, err := json.Marshal(r)
+	for _, id := range ids {
+		old, err := documents(before, id)
 		if err != nil {
 			return nil, err
 		}
-		before, err := document(set, r.ID())
+		now, err := documents(after, id)
 		if err != nil {
 			return nil, err
 		}
-		if !bytes.Equal(before, after) {
-			changes = append(changes, amraudit.Change{Record: r.ID().String(), Before: before, After: after})
+		if !slices.EqualFunc(old, now, func(a, b json.RawMessage) bool { return bytes.Equal(a, b) }) {
+			changes = append(changes, amraudit.Change{Record: id.String(), Before: old, After: now})
 		}
 	}
-	for _, id := range c.Delete {
-		before, err := document(set, id)
+	return changes, nil
+}
+
+func documents(set amrrecord.Set, id amrrecord.ID) ([]json.RawMessage, error) {
+	var all []json.RawMessage
+	for _, r := range set.Variants(id) {
+		data, err := json.Marshal(r)
 		if err != nil {
 			return nil, err
 		}
-		if before != nil {
-			changes = append(changes, amraudit.Change{Record: id.String(), Before: before})
-		}
+		all = append(all, data)
 	}
-	return changes, nil
+	return all, nil
+}
+
+// redo returns the set after the entry.
+func redo(set amrrecord.Set, entry amraudit.Entry) (amrrecord.Set, error) {
+	set, err := replace(set, entry.Changes, func(c amraudit.Change) []json.RawMessage { return c.After })
+	if err != nil {
+		return set, fmt.Errorf("revision %d: %w", entry.Revision, err)
+	}
+	return set.WithRevision(entry.Revision), nil
 }
 
-func document(set amrrecord.Set, id amrrecord.ID) (json.RawMessage, error) {
-	r, ok := set.Get(id)
-	if !ok {
-		return nil, nil
+// undo returns the set before the entry.
+func undo(set amrrecord.Set, entry amraudit.Entry) (amrrecord.Set, error) {
+	set, err := replace(set, entry.Changes, func(c amraudit.Change) []json.RawMessage { return c.Before })
+	if err != nil {
+		return set, fmt.Errorf("revision %d: %w", entry.Revision, err)
 	}
-	return json.Marshal(r)
+	return set.WithRevision(entry.Revision - 1), nil
 }
 
-// replay returns the set after the entry.
-func replay(set amrrecord.Set, entry amraudit.Entry) (amrrecord.Set, error) {
+func replace(set amrrecord.Set, changes []amraudit.Change, side func(amraudit.Change) []json.RawMessage) (amrrecord.Set, error) {
+	var gone []amrrecord.ID
 	var put []amrrecord.Record
-	var remove []amrrecord.ID
-	for _, change := range entry.Changes {
-		if change.After == nil {
-			kind, name, _ := strings.Cut(change.Record, "/")
-			remove = append(remove, amrrecord.ID{Kind: amrrecord.Kind(kind), Name: name})
-			continue
-		}
-		var r amrrecord.Record
-		if err := json.Unmarshal(change.After, &r); err != nil {
-			return set, fmt.Errorf("revision %d: %w", entry.Revision, err)
+	for _, change := range changes {
+		gone = append(gone, parseID(change.Record))
+		for _, data := range side(change) {
+			var r amrrecord.Record
+			if err := json.Unmarshal(data, &r); err != nil {
+				return set, err
+			}
+			put = append(put, r)
 		}
-		put = append(put, r)
 	}
-	return set.With(put...).Without(remove...).WithRevision(entry.Revision), nil
+	return set.Without(gone...).With(put...), nil
+}
+
+func parseID(s string) amrrecord.ID {
+	kind, name, _ := strings.Cut(s, "/")
+	return amrrecord.ID{Kind: amrrecord.Kind(kind), Name: name}
 }
--- a/core/amrconfig/store.go
+++ b/core/amrconfig/store.go
@@ -28,12 +28,6 @@
 )
 
 const (
-	headKey     = "config/head"
-	logPrefix   = "config/log/"
-	tokenPrefix = "config/token/"
-
-	scanLimit = 500
-
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = time.Second
 )
@@ -106,76 +100,13 @@
 
 // Load returns the newest records.
 func (s *Store) Load(ctx context.Context) (amrrecord.Set, error) {
-	set, _, err := s.load(ctx)
+	set, _, err := s.advance(ctx)
 	return set, err
 }
 
-// head is the newest revision and the digest of its log entry.
-type head struct {
-	Revision uint64 `json:"revision"`
-	Digest   string `json:"digest"`
-
-	version uint64 // Of the item.
-}
-
-func (s *Store) head(ctx context.Context) (head, error) {
-	item, err := s.table.Get(ctx, headKey)
-	if errorx.IsOfType(err, amrplatform.NotFound) {
-		return head{}, nil
-	}
-	if err != nil {
-		return head{}, err
-	}
-	h := head{version: item.Version}
-	err = json.Unmarshal(item.Value, &h)
-	return h, err
-}
-
-// load brings the newest set that the store has seen up to the head.
-func (s *Store) load(ctx context.Context) (amrrecord.Set, head, error) {
-	h, err := s.head(ctx)
-	if err != nil {
-		return amrrecord.Set{}, h, err
-	}
-	set := s.seen()
-	for set.Revision() < h.Revision {
-		entries, err := s.entries(ctx, set.Revision())
-		if err != nil {
-			return set, h, err
-		}
-		if len(entries) == 0 {
-			return set, h, amraudit.Gap.New("the log ends before revision %d; restore config/log from a backup", h.Revision)
-		}
-		for _, entry := range entries {
-			if entry.Revision > h.Revision {
-				break
-			}
-			if set, err = replay(set, entry); err != nil {
-				return set, h, err
-			}
-		}
-	}
-	s.saw(set)
-	return set, h, nil
-}
-
-func (s *Store) entries(ctx context.Context, after uint64) ([]amraudit.Entry, error) {
-	items, err := s.table.Scan(ctx, logPrefix, logKey(after), scanLimit)
-	if err != nil {
-		return nil, err
-	}
-	entries := make([]amraudit.Entry, len(items))
-	for i, item := range items {
-		if err := json.Unmarshal(item.Value, &entries[i]); err != nil {
-			return nil, err
-		}
-	}
-	return entries, nil
-}
-
 // try makes one attempt at the change.
 func (s *Store) try(ctx context.Context, change Change) (uint64, error) {
-	set, h, err := s.load(ctx)
+	set, h, err := s.advance(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -186,14 +117,11 @@
 	if err := s.checkBase(ctx, change, h); err != nil {
 		return 0, err
 	}
-	differences, err := change.differences(set)
-	if err != nil || len(differences) == 0 {
+	changes, err := change.Preview(set)
+	if err != nil || len(changes) == 0 {
 		return h.Revision, err
 	}
-	if err := change.validate(set.With(change.Put...).Without(change.Delete...)); err != nil {
-		return 0, err
-	}
-	return s.commit(ctx, change, differences, h)
+	return s.commit(ctx, change, changes, h)
 }
 
 // applied returns the revision under which the token was applied, or 0.
@@ -213,25 +141,19 @@
 	if change.Base == 0 {
 		return nil
 	}
-	ids := change.ids()
-	for after := change.Base; after < h.Revision; {
-		entries, err := s.entries(ctx, after)
-		if err != nil {
-			return err
-		}
-		if len(entries) == 0 || entries[0].Revision != after+1 {
-			return Conflict.New("revision %d is too old to tell what changed since; read the records again and apply on revision %d", change.Base, h.Revision)
-		}
-		var conflicts []string
-		for _, entry := range entries {
-			conflicts = append(conflicts, conflictsOf(entry, ids)...)
-			after = entry.Revision
-		}
-		if len(conflicts) > 0 {
-			return Conflict.New("%s; read the records again and apply on revision %d", strings.Join(conflicts, "; "), h.Revision)
-		}
+	ids := map[string]bool{}
+	for _, id := range change.ids() {
+		ids[id.String()] = true
+	}
+	var conflicts []string
+	err := s.walk(ctx, change.Base, h.Revision, func(entry amraudit.Entry) error {
+		conflicts = append(conflicts, conflictsOf(entry, ids)...)
+		return nil
+	})
+	if err == nil && len(conflicts) > 0 {
+		err = Conflict.New("%s; read the records again and apply on revision %d", strings.Join(conflicts, "; "), h.Revision)
 	}
-	return nil
+	return err
 }
 
 func conflictsOf(entry amraudit.Entry, ids map[string]bool) []string {
@@ -245,7 +167,7 @@
 	return conflicts
 }
 
-func (s *Store) commit(ctx context.Context, change Change, differences []amraudit.Change, h head) (uint64, error) {
+func (s *Store) commit(ctx context.Context, change Change, changes []amraudit.Change, h head) (uint64, error) {
 	entry, err := amraudit.Entry{
 		Revision: h.Revision + 1,
 		When:     s.clock.Now().UTC(),
@@ -253,32 +175,33 @@
 		From:     change.From,
 		Reason:   change.Reason,
 		Token:    change.Token,
-		Changes:  differences,
+		Changes:  changes,
 	}.Sealed(h.Digest)
 	if err != nil {
 		return 0, err
 	}
-	next := h
-	next.Revision, next.Digest = entry.Revision, entry.Digest
-	entryValue, err := json.Marshal(entry)
+	value, err := json.Marshal(entry)
 	if err != nil {
 		return 0, err
 	}
-	headValue, err := json.Marshal(next)
+	next := h
+	next.Revision, next.Digest = entry.Revision, entry.Digest
+	put, err := next.put()
 	if err != nil {
 		return 0, err
 	}
-	return entry.Revision, s.table.Commit(ctx, amrplatform.Txn{
-		Checks: []amrplatform.Check{
-			{Key: headKey, Version: h.version},
-			{Key: tokenPrefix + change.Token},
-		},
+	err = s.table.Commit(ctx, amrplatform.Txn{
+		Checks: []amrplatform.Check{h.check(), {Key: tokenPrefix + change.Token}},
 		Puts: []amrplatform.Put{
-			{Key: headKey, Value: headValue},
-			{Key: logKey(entry.Revision), Value: entryValue},
+			put,
+			{Key: key(logPrefix, entry.Revision), Value: value},
 			{Key: tokenPrefix + change.Token, Value: strconv.AppendUint(nil, entry.Revision, 10)},
 		},
 	})
+	if err == nil {
+		s.compactIfLong(ctx, next)
+	}
+	return entry.Revision, err
 }
 
 // seen returns the newest set that the store has read.
@@ -318,7 +241,3 @@
 	}
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
-
-func logKey(revision uint64) string {
-	return fmt.Sprintf("%s%020d", logPrefix, revision)
-}
--- a/core/amrconfig/store_test.go
+++ b/core/amrconfig/store_test.go
@@ -17,8 +17,8 @@
 	"amaranthreach.example/core/amrrecord"
 )
 
-func team(name string, weight int) amrrecord.Record {
-	return amrrecord.Record{Name: name, Spec: amrrecord.Team{Weight: weight}}
+func team(name string, limit int) amrrecord.Record {
+	return amrrecord.Record{Name: name, Spec: amrrecord.Team{Concurrency: limit}}
 }
 
 func put(records ...amrrecord.Record) amrconfig.Change {
@@ -56,7 +56,7 @@
 		is.NoErr(err)
 		is.Equal(set.Revision(), uint64(3))
 		recife, _ := set.Team("recife")
-		is.Equal(recife.Weight, 2)
+		is.Equal(recife.Concurrency, 2)
 
 		_, err = store.Apply(ctx, put(amrrecord.Record{Name: "b1", Spec: amrrecord.BackendServer{
 			Deployment: "m1", Address: "127.0.0.1:1", AvailabilityZone: "a"}}))
@@ -138,7 +138,9 @@
 		is.Equal(set.Revision(), uint64(writers*changes))
 		is.Equal(set.Len(), writers+writers*changes)
 		is.True(platform.Counters().Lost > 0)
-		is.NoErr(store.VerifyAudit(t.Context()))
+		entries, err := store.VerifyAudit(t.Context())
+		is.NoErr(err)
+		is.Equal(entries, writers*changes)
 	})
 }
 
