--- a/core/amrconfig/change.go
+++ b/core/amrconfig/change.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 
 	"amaranthreach.example/core/amraudit"
 	"amaranthreach.example/core/amrrecord"
@@ -128,7 +127,7 @@
 	var gone []amrrecord.ID
 	var put []amrrecord.Record
 	for _, change := range changes {
-		gone = append(gone, parseID(change.Record))
+		gone = append(gone, amrrecord.ParseID(change.Record))
 		for _, data := range side(change) {
 			var r amrrecord.Record
 			if err := json.Unmarshal(data, &r); err != nil {
@@ -139,8 +138,3 @@
 	}
 	return set.Without(gone...).With(put...), nil
 }
-
-func parseID(s string) amrrecord.ID {
-	kind, name, _ := strings.Cut(s, "/")
-	return amrrecord.ID{Kind: amrrecord.Kind(kind), Name: name}
-}
--- a/core/amrconfig/errors.go
+++ b/core/amrconfig/errors.go
@@ -12,6 +12,10 @@
 	// Incomplete says that a change lacks what the audit trail needs.
 	Incomplete = namespace.NewType("incomplete")
 
+	// TooOld says that a process no longer knows what changed since a
+	// revision.
+	TooOld = namespace.NewType("too-old")
+
 	// Unresolved says that a change may or may not be in force: apply it again
 	// with the same token.
 	Unresolved = namespace.NewType("unresolved", errorx.Temporary())
--- a/core/amrconfig/history.go
+++ b/core/amrconfig/history.go
@@ -67,7 +67,7 @@
 	touched := map[amrrecord.ID]bool{}
 	err = s.walk(ctx, revision, h.Revision, func(entry amraudit.Entry) error {
 		for _, c := range entry.Changes {
-			touched[parseID(c.Record)] = true
+			touched[amrrecord.ParseID(c.Record)] = true
 		}
 		return nil
 	})
--- a/core/amrconfig/store.go
+++ b/core/amrconfig/store.go
@@ -58,6 +58,17 @@
 	return s
 }
 
+// forZone returns another store on the same services that reads the records as
+// they are in force in the availability zone.
+func (s *Store) forZone(zone string) *Store {
+	s.mu.Lock()
+	seed := s.random.Uint64()
+	s.mu.Unlock()
+	other := NewStore(s.table, s.objects, WithClock(s.clock), WithSeed(seed))
+	other.newest = amrrecord.Set{}.WithAvailabilityZone(zone)
+	return other
+}
+
 // Option sets a property of a store.
 type Option func(*Store)
 
--- a/core/amrrecord/record.go
+++ b/core/amrrecord/record.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -61,6 +62,12 @@
 	return string(id.Kind) + "/" + id.Name
 }
 
+// ParseID returns the identity that String wrote.
+func ParseID(s string) ID {
+	kind, name, _ := strings.Cut(s, "/")
+	return ID{Kind(kind), name}
+}
+
 // Kind names a kind of record.
 type Kind string
 
--- a/core/amrrecord/set.go
+++ b/core/amrrecord/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 )
 
@@ -161,3 +162,15 @@
 func compareID(a, b Record) int {
 	return cmp.Or(cmp.Compare(a.Kind(), b.Kind()), cmp.Compare(a.Name, b.Name))
 }
+
+// Changed returns the identities under which s and old hold different records,
+// in order. It is fast for sets that were made from one another.
+func (s Set) Changed(old Set) []ID {
+	keys := s.variants.changed(old.variants, func(a, b variants) bool { return reflect.DeepEqual(a, b) })
+	slices.Sort(keys)
+	ids := make([]ID, len(keys))
+	for i, key := range keys {
+		ids[i] = ParseID(key)
+	}
+	return ids
+}
--- a/core/amrrecord/sharded.go
+++ b/core/amrrecord/sharded.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 
 	"github.com/zeebo/xxh3"
 )
@@ -87,3 +88,37 @@
 func shardOf(key string) int {
 	return int(xxh3.HashString(key) % shardCount)
 }
+
+// changed returns the keys under which m and old hold different values.
+func (m shardedMap[V]) changed(old shardedMap[V], equal func(a, b V) bool) []string {
+	var keys []string
+	for i := range shardCount {
+		before, now := old.shard(i), m.shard(i)
+		if sameMap(before, now) {
+			continue
+		}
+		for key, v := range now {
+			if w, ok := before[key]; !ok || !equal(v, w) {
+				keys = append(keys, key)
+			}
+		}
+		for key := range before {
+			if _, ok := now[key]; !ok {
+				keys = append(keys, key)
+			}
+		}
+	}
+	return keys
+}
+
+func (m shardedMap[V]) shard(i int) map[string]V {
+	if m.shards == nil {
+		return nil
+	}
+	return m.shards[i]
+}
+
+// sameMap reports whether a and b are one and the same map.
+func sameMap[V any](a, b map[string]V) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
