Lock the recorders of the engine's test

Cause: the race detector found the harness reading an answer between two writes of the engine; the sleep of the fake clock orders nothing. Ruled out: a race in the engine; the recorder is the test's own. Change: the recorder and its state have a lock.

--- a/standin/amrengine/engine_test.go
+++ b/standin/amrengine/engine_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,9 +53,46 @@
 }
 
 type call struct {
-	recorder *httptest.ResponseRecorder
+	recorder *recorder
 	cancel   context.CancelFunc
-	state    string
+}
+
+// recorder lets the script read an answer while the engine writes it.
+type recorder struct {
+	mu sync.Mutex
+	*httptest.ResponseRecorder
+	state string
+}
+
+func (r *recorder) end(state string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = state
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ResponseRecorder.Write(p)
+}
+
+func (r *recorder) WriteHeader(code int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ResponseRecorder.WriteHeader(code)
+}
+
+func (r *recorder) Flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ResponseRecorder.Flush()
+}
+
+func (r *recorder) answer() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	body := strings.TrimSpace(strings.ReplaceAll(r.Body.String(), "\n\n", "\n"))
+	return fmt.Sprintf("%s %d\n%s", r.state, r.Code, body)
 }
 
 func (h *harness) run(t *testing.T, d *datadriven.TestData) string {
@@ -150,7 +188,7 @@
 
 func (h *harness) send(id string, e *Engine, method, path, body string, header http.Header) {
 	ctx, cancel := context.WithCancel(h.ctx)
-	c := &call{recorder: httptest.NewRecorder(), cancel: cancel, state: "open"}
+	c := &call{recorder: &recorder{ResponseRecorder: httptest.NewRecorder(), state: "open"}, cancel: cancel}
 	h.calls[id] = c
 	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
 	for name, values := range header {
@@ -158,10 +196,11 @@
 	}
 	h.group.Go(func() error {
 		defer func() {
-			c.state = "done"
+			state := "done"
 			if recover() != nil {
-				c.state = "cut"
+				state = "cut"
 			}
+			c.recorder.end(state)
 		}()
 		e.Handler().ServeHTTP(c.recorder, req)
 		return nil
@@ -169,9 +208,7 @@
 }
 
 func (h *harness) answer(id string) string {
-	c := h.calls[id]
-	body := strings.TrimSpace(strings.ReplaceAll(c.recorder.Body.String(), "\n\n", "\n"))
-	return fmt.Sprintf("%s %d\n%s", c.state, c.recorder.Code, body)
+	return h.calls[id].recorder.answer()
 }
 
 func (h *harness) log(e *Engine) string {
