--- a/standin/amrengine/cache.go
+++ b/standin/amrengine/cache.go
@@ -116,28 +116,12 @@
 type Directory struct {
 	mu      sync.Mutex
 	holders map[amrprompt.Key]int
+	seen    map[amrprompt.Key]struct{} // Blocks that were ever held.
 }
 
 // NewDirectory returns a directory without blocks.
 func NewDirectory() *Directory {
-	return &Directory{holders: make(map[amrprompt.Key]int)}
-}
-
-// Holders returns how many engines hold the block.
-func (d *Directory) Holders(k amrprompt.Key) int {
-	if d == nil {
-		return 0
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.holders[k]
-}
-
-// Len returns the number of distinct blocks that are held.
-func (d *Directory) Len() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.holders)
+	return &Directory{holders: make(map[amrprompt.Key]int), seen: make(map[amrprompt.Key]struct{})}
 }
 
 func (d *Directory) add(k amrprompt.Key) {
@@ -147,6 +131,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.holders[k]++
+	d.seen[k] = struct{}{}
 }
 
 func (d *Directory) remove(k amrprompt.Key) {
@@ -160,12 +145,21 @@
 	}
 }
 
-func (d *Directory) heldTokens(keys []amrprompt.Key) int {
-	held := 0
+// tokens returns how many tokens of the blocks are held by some engine, and how
+// many have been held before.
+func (d *Directory) tokens(keys []amrprompt.Key) (held, repeated int) {
+	if d == nil {
+		return 0, 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, k := range keys {
-		if d.Holders(k) > 0 {
+		if d.holders[k] > 0 {
 			held += amrprompt.TokensPerBlock
 		}
+		if _, ok := d.seen[k]; ok {
+			repeated += amrprompt.TokensPerBlock
+		}
 	}
-	return held
+	return held, repeated
 }
--- a/standin/amrengine/completions.go
+++ b/standin/amrengine/completions.go
@@ -74,6 +74,7 @@
 	}
 	j.idempotencyKey = r.Header.Get("Idempotency-Key")
 	j.poison = e.poisoned(body.Prompt)
+	j.fingerprint = Fingerprint(body.Prompt)
 	if status, message := e.submit(j); status != 0 {
 		if status == http.StatusServiceUnavailable {
 			w.Header().Set("Retry-After", retryAfter)
@@ -82,7 +83,7 @@
 		return
 	}
 	defer e.cancel(j)
-	a := answer{job: j, seed: xxh3.HashString(body.Prompt)}
+	a := answer{job: j, seed: j.fingerprint}
 	if body.Stream {
 		e.stream(w, r, a)
 		return
@@ -234,6 +235,17 @@
 	}
 }
 
+// Fingerprint identifies a prompt in the log of runs.
+func Fingerprint(prompt string) uint64 {
+	return xxh3.HashString(prompt)
+}
+
+// Text returns the answer of so many tokens that an engine generates for the
+// prompt with the fingerprint.
+func Text(fingerprint uint64, tokens int) string {
+	return answer{seed: fingerprint}.text(0, tokens)
+}
+
 // answer is the text that the engine generates for a prompt.
 type answer struct {
 	job  *job
--- a/standin/amrengine/engine.go
+++ b/standin/amrengine/engine.go
@@ -188,7 +188,7 @@
 		CachedTokens:    e.scheduler.cache.depth(keys) * amrprompt.TokensPerBlock,
 		ExpectedTokens:  e.scheduler.expectedDepth(keys) * amrprompt.TokensPerBlock,
 		BatchLimit:      e.settings.batchLimit,
-		TokensPerSecond: e.settings.prefillRate,
+		TokensPerSecond: e.settings.prefillRate * e.settings.timeScale,
 		Wait:            e.settings.prefillTime(waiting),
 	}
 }
--- a/standin/amrengine/engine_test.go
+++ b/standin/amrengine/engine_test.go
@@ -214,8 +214,8 @@
 func (h *harness) log(e *Engine) string {
 	var b strings.Builder
 	for _, r := range e.Log() {
-		fmt.Fprintf(&b, "%s key=%q at=%v weights=%s prompt=%d cached=%d held=%d completion=%d %s\n", r.RequestID, r.IdempotencyKey,
-			r.At.Sub(h.start), r.Weights, r.PromptTokens, r.CachedTokens, r.HeldTokens, r.CompletionTokens, r.Outcome)
+		fmt.Fprintf(&b, "%s key=%q at=%v weights=%s prompt=%d cached=%d held=%d repeated=%d completion=%d %s\n", r.RequestID, r.IdempotencyKey,
+			r.At.Sub(h.start), r.Weights, r.PromptTokens, r.CachedTokens, r.HeldTokens, r.RepeatedTokens, r.CompletionTokens, r.Outcome)
 	}
 	orders := e.Orders()
 	sort.Slice(orders, func(i, j int) bool { return orders[i].At.Before(orders[j].At) })
--- a/standin/amrengine/log.go
+++ b/standin/amrengine/log.go
@@ -10,12 +10,14 @@
 type Run struct {
 	RequestID        string
 	IdempotencyKey   string // Of the Idempotency-Key header.
+	Fingerprint      uint64 // Of the prompt, as Fingerprint returns it.
 	Incarnation      string
 	Weights          string
 	At               time.Time // When prefill started.
 	PromptTokens     int
 	CachedTokens     int
 	HeldTokens       int // Tokens computed although an engine of the directory held them.
+	RepeatedTokens   int // Tokens computed although an engine of the directory had computed them before.
 	CompletionTokens int
 	Outcome          Outcome
 }
@@ -48,6 +50,8 @@
 		PromptTokens:   j.promptTokens,
 		CachedTokens:   j.cached,
 		HeldTokens:     j.held,
+		RepeatedTokens: j.repeated,
+		Fingerprint:    j.fingerprint,
 		Outcome:        OutcomeRunning,
 	})
 }
--- a/standin/amrengine/routes.go
+++ b/standin/amrengine/routes.go
@@ -19,17 +19,17 @@
 }
 
 type statusReply struct {
-	Incarnation            string  `json:"incarnation"`
-	Model                  string  `json:"model"`
-	WeightsVersion         string  `json:"weights_version"`
-	Role                   string  `json:"role"`
-	Running                int     `json:"running"`
-	Waiting                int     `json:"waiting"`
-	WaitingTokens          int     `json:"waiting_tokens"`
-	BatchLimit             int     `json:"batch_limit"`
-	CachedBlocks           int     `json:"cached_blocks"`
-	CapacityBlocks         int     `json:"capacity_blocks"`
-	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	Incarnation            string `json:"incarnation"`
+	Model                  string `json:"model"`
+	WeightsVersion         string `json:"weights_version"`
+	Role                   string `json:"role"`
+	Running                int    `json:"running"`
+	Waiting                int    `json:"waiting"`
+	WaitingTokens          int    `json:"waiting_tokens"`
+	BatchLimit             int    `json:"batch_limit"`
+	CachedBlocks           int    `json:"cached_blocks"`
+	CapacityBlocks         int    `json:"capacity_blocks"`
+	PrefillTokensPerSecond int    `json:"prefill_tokens_per_second"`
 }
 
 type statusSample struct {
@@ -83,7 +83,7 @@
 		BatchLimit:             e.settings.batchLimit,
 		CachedBlocks:           len(e.scheduler.cache.blocks),
 		CapacityBlocks:         e.settings.cacheBlocks,
-		PrefillTokensPerSecond: e.settings.prefillRate,
+		PrefillTokensPerSecond: int(e.settings.prefillRate * e.settings.timeScale),
 	}
 }
 
--- a/standin/amrengine/scheduler.go
+++ b/standin/amrengine/scheduler.go
@@ -42,17 +42,19 @@
 	promptTokens   int
 	resumeTokens   int
 	maxTokens      int
+	fingerprint    uint64
 	poison         bool
 	estimate       int // Tokens to compute, as foreseen on arrival.
 
-	run     int             // Index into the log of runs.
-	started bool            // Prefill has started.
-	cached  int             // Tokens of the prompt that were in the cache.
-	held    int             // Tokens computed although some engine held them.
-	pinned  []amrprompt.Key // Blocks to release at the end.
-	emitted int             // Tokens of the answer so far, resumed ones counted.
-	outcome Outcome         // Empty until the end.
-	wake    chan struct{}   // Signals progress.
+	run      int             // Index into the log of runs.
+	started  bool            // Prefill has started.
+	cached   int             // Tokens of the prompt that were in the cache.
+	held     int             // Tokens computed although some engine held them.
+	repeated int             // Tokens computed although some engine had computed them before.
+	pinned   []amrprompt.Key // Blocks to release at the end.
+	emitted  int             // Tokens of the answer so far, resumed ones counted.
+	outcome  Outcome         // Empty until the end.
+	wake     chan struct{}   // Signals progress.
 }
 
 func newScheduler(s settings, log runLog) *scheduler {
@@ -221,7 +223,7 @@
 	s.cache.pin(j.keys[:depth])
 	j.pinned = j.keys[:depth]
 	j.cached = min(depth*amrprompt.TokensPerBlock, j.promptTokens)
-	j.held = s.settings.directory.heldTokens(j.keys[depth:])
+	j.held, j.repeated = s.settings.directory.tokens(j.keys[depth:])
 	j.started = true
 	s.prefill = j
 	s.prefillEnd = now.Add(s.settings.prefillTime(s.uncached(j, depth)))
