Add the replay of traces through routers, sidecars and stand-in engines

Plays a trace in open loop and measures from the engines' own logs what was lost, doubled, recomputed and wasted, joined by the prompt's fingerprint; checks every answer's text; faults come from a YAML list; a report has plots. It refuses to report when its own requests were sent more than 20 ms of trace time late at the 99th percentile.

--- /dev/null
+++ b/standin/amrreplay/play.go
@@ -0,0 +1,216 @@
+package amrreplay
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/standin/amrengine"
+	"amaranthreach.example/standin/amrfleet"
+	"amaranthreach.example/standin/amrtrace"
+)
+
+const (
+	prepareAhead     = 64 // Requests whose bodies are made before they are due.
+	flushTokens      = 8
+	progressInterval = 5 * time.Second
+	deadline         = 10 * time.Minute // Of the trace.
+	stopGrace        = 2 * time.Second
+	routingPolicy    = "replayed"
+)
+
+// play is one run of the trace through a fleet.
+type play struct {
+	policy   string
+	requests []amrtrace.Request
+	settings settings
+	fleet    *amrfleet.Fleet
+	caller   *caller
+	begin    time.Time
+	calls    []call
+}
+
+// startPlay starts a fleet with the records that the trace needs.
+func startPlay(ctx context.Context, r *Replay, policy string) (*play, error) {
+	p := &play{policy: policy, requests: r.requests, settings: r.settings, calls: make([]call, len(r.requests))}
+	var err error
+	p.fleet, err = amrfleet.Start(context.WithoutCancel(ctx), p.fleetConfig())
+	if err != nil {
+		return nil, err
+	}
+	if err := p.fleet.Apply(ctx, p.records()...); err != nil {
+		p.stop()
+		return nil, err
+	}
+	p.caller = newCaller(p.fleet.Routers, 2*p.settings.scaled(deadline))
+	return p, nil
+}
+
+func (p *play) fleetConfig() amrfleet.Config {
+	c := amrfleet.DefaultConfig
+	c.Engines = p.settings.engines
+	c.Routers = p.settings.routers
+	c.Services = 0
+	c.TimeScale = p.settings.timeScale
+	c.Log = p.settings.log
+	c.StopGrace = stopGrace
+	c.EngineOptions = []amrengine.Option{
+		amrengine.WithCacheBlocks(p.settings.cacheBlocks),
+		amrengine.WithDirectory(amrengine.NewDirectory()),
+		amrengine.WithFlushTokens(flushTokens),
+		amrengine.WithEventLoss(p.settings.eventLoss),
+		amrengine.WithEventDelay(p.settings.eventDelay),
+		amrengine.WithStatusLag(p.settings.statusLag),
+	}
+	return c
+}
+
+// records returns the teams and deployments that the trace names, the routing
+// policy and the backend servers, which the deployments share out.
+func (p *play) records() []amrrecord.Record {
+	records := []amrrecord.Record{{Name: routingPolicy, Spec: amrrecord.RoutingPolicy{
+		Policy:          amrrecord.Policy(p.policy),
+		RecomputeWeight: p.settings.recomputeWeight,
+		WaitWeight:      p.settings.waitWeight,
+		Deadline:        p.settings.scaled(deadline),
+	}}}
+	var teams, models []string
+	for _, r := range p.requests {
+		if !slices.Contains(teams, r.Team) {
+			teams = append(teams, r.Team)
+			records = append(records, amrrecord.Record{Name: r.Team, Spec: amrrecord.Team{KeySHA256: []string{keyDigest(r.Team)}, Weight: 1}})
+		}
+		if !slices.Contains(models, r.Model) {
+			models = append(models, r.Model)
+			records = append(records, amrrecord.Record{Name: r.Model, Spec: amrrecord.Deployment{
+				Type:          amrrecord.TypeModel,
+				Model:         r.Model,
+				Versions:      []amrrecord.Version{{Weights: amrfleet.Weights, Share: 100}},
+				RoutingPolicy: routingPolicy,
+			}})
+		}
+	}
+	for i, record := range p.fleet.Records() {
+		if server, ok := record.Spec.(amrrecord.BackendServer); ok {
+			server.Deployment = models[i%len(models)]
+			record.Spec = server
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+func (p *play) stop() {
+	if p.caller != nil {
+		p.caller.close()
+	}
+	_ = p.fleet.Stop()
+}
+
+// prepared is a request whose body has been made.
+type prepared struct {
+	index int
+	body  requestBody
+}
+
+// run sends all requests and waits for their answers.
+func (p *play) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ready := make(chan prepared, prepareAhead)
+	p.begin = p.settings.clock.Now()
+	var calls errgroup.Group
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.prepare(ctx, ready) })
+	group.Go(func() error { return p.inject(ctx) })
+	group.Go(func() error { return p.report(ctx) })
+	group.Go(func() error {
+		defer cancel() // Ends the injection of faults and the progress.
+		err := p.send(ctx, ready, &calls)
+		_ = calls.Wait()
+		return err
+	})
+	return group.Wait()
+}
+
+func (p *play) prepare(ctx context.Context, ready chan<- prepared) error {
+	defer close(ready)
+	for i, r := range p.requests {
+		select {
+		case ready <- prepared{i, newRequestBody(r)}:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// send sends each request when it is due.
+func (p *play) send(ctx context.Context, ready <-chan prepared, calls *errgroup.Group) error {
+	for next := range ready {
+		due := p.settings.scaled(p.requests[next.index].At)
+		if err := p.settings.sleepUntil(ctx, p.begin.Add(due)); err != nil {
+			return err
+		}
+		calls.Go(func() error {
+			c := &p.calls[next.index]
+			c.due = due
+			p.caller.call(ctx, next.body, c, func() time.Duration { return p.settings.clock.Since(p.begin) })
+			return nil
+		})
+	}
+	return nil
+}
+
+// report writes progress now and then.
+func (p *play) report(ctx context.Context) error {
+	ticker := p.settings.clock.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			elapsed := p.settings.unscaled(p.settings.clock.Since(p.begin))
+			fmt.Fprintf(p.settings.progress, "policy=%s trace-time=%s of=%s\n", p.policy, elapsed.Round(time.Second), p.requests[len(p.requests)-1].At.Round(time.Second))
+		}
+	}
+}
+
+func (s settings) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / s.timeScale)
+}
+
+func (s settings) unscaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * s.timeScale)
+}
+
+func (s settings) sleepUntil(ctx context.Context, at time.Time) error {
+	wait := at.Sub(s.clock.Now())
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := s.clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func teamKey(team string) string {
+	return "key-of-" + team
+}
+
+func keyDigest(team string) string {
+	sum := sha256.Sum256([]byte(teamKey(team)))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/standin/amrreplay/replay_test.go
@@ -0,0 +1,127 @@
+package amrreplay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"amaranthreach.example/standin/amrtrace"
+)
+
+// recorded returns the idempotent requests of a recorded trace that are due
+// before the end.
+func recorded(t *testing.T, name string, end time.Duration) []amrtrace.Request {
+	t.Helper()
+	f, err := os.Open(filepath.Join("..", "testdata", "traces", name+".jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	all, err := amrtrace.Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests []amrtrace.Request
+	for _, r := range all {
+		if r.At < end && !r.Once {
+			requests = append(requests, r)
+		}
+	}
+	return requests
+}
+
+// play runs a replay whose figures need not be free of the machine's delays.
+func runLate(t *testing.T, r *Replay, policy string) Result {
+	t.Helper()
+	result, err := r.Run(t.Context(), policy)
+	if err != nil && !errorx.IsOfType(err, distorted) {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func TestReplay(t *testing.T) {
+	is := is.New(t)
+	requests := recorded(t, amrtrace.Mandacaru, 3*time.Second)
+	replay := New(requests, WithEngines(12), WithRouters(2), WithTimeScale(4))
+	result := runLate(t, replay, "cache-aware")
+	is.Equal(result.Requests, len(requests))
+	is.Equal(result.Answered, len(requests))
+	is.Equal(result.Lost, 0)
+	ideal, err := replay.Run(t.Context(), PolicyIdeal)
+	is.NoErr(err)
+	is.True(result.HitRate > 0)
+	is.True(result.HitRate <= ideal.HitRate+0.05)
+
+	dir := t.TempDir()
+	is.NoErr(WriteReport(dir, []Result{result, ideal}))
+	page, err := os.ReadFile(filepath.Join(dir, reportPage))
+	is.NoErr(err)
+	is.True(bytes.Contains(page, []byte("cache-aware")))
+	data, err := os.ReadFile(filepath.Join(dir, reportResults))
+	is.NoErr(err)
+	var list []map[string]any
+	is.NoErr(json.Unmarshal(data, &list))
+	is.Equal(len(list), 2)
+	for _, name := range []string{
+		"policy", "requests", "answered", "refused", "lost", "doubled", "hit-rate", "recomputed-tokens", "wasted-tokens", "ttft-p50-ms", "ttft-p99-ms",
+	} {
+		for _, object := range list {
+			_, ok := object[name]
+			is.True(ok)
+			is.Equal(len(object), 11)
+		}
+	}
+}
+
+// TestReplayWithFaults checks that idempotent requests outlive failures.
+func TestReplayWithFaults(t *testing.T) {
+	is := is.New(t)
+	requests := recorded(t, amrtrace.Ledoslik, 2500*ms)
+	faults := Faults{
+		{At: 800 * ms, Kind: FaultCrash, Target: "engine-1", For: 500 * ms},
+		{At: 300 * ms, Kind: FaultRouterRestart, Target: "router-1"},
+		{At: 1200 * ms, Kind: FaultFreeze, Target: "engine-2", For: 200 * ms},
+		{At: 1200 * ms, Kind: FaultEventGap, For: 500 * ms},
+		{At: 1500 * ms, Kind: FaultStoreOutage, For: 500 * ms},
+	}
+	replay := New(requests, WithEngines(12), WithRouters(2), WithTimeScale(4), WithFaults(faults))
+	result := runLate(t, replay, "cache-aware")
+	is.Equal(result.Answered+result.Refused, len(requests))
+	is.Equal(result.Details.Causes, Causes{Resent: result.Details.Causes.Resent})
+	is.Equal(len(result.Details.Routers), 3) // Router 1 twice.
+}
+
+func TestCommand(t *testing.T) {
+	trace := filepath.Join("..", "testdata", "traces", "mandacaru.jsonl")
+	tests := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"no trace", nil, `required flag(s) "trace" not set`},
+		{"missing trace", []string{"--trace", "none.jsonl"}, "replay.bad-flag: --trace: name a file of a trace, cause: open none.jsonl: no such file or directory"},
+		{"unknown policy", []string{"--trace", trace, "--policy", "best"}, `replay.bad-flag: --policy: no policy is called "best": use cache-aware, round-robin, least-loaded, prefix-hash or ideal`},
+		{"time scale", []string{"--trace", trace, "--time-scale", "0"}, "replay.bad-flag: --time-scale: give a number above 0"},
+		{"engines", []string{"--trace", trace, "--engines", "0"}, "replay.bad-flag: --engines and --routers: give a number above 0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := Command()
+			c.SetArgs(tt.args)
+			c.SetOut(&bytes.Buffer{})
+			c.SetErr(&bytes.Buffer{})
+			err := c.ExecuteContext(context.Background())
+			is.True(err != nil)
+			is.Equal(err.Error(), tt.want)
+		})
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -12,6 +12,8 @@
 	"github.com/spf13/cobra"
 
 	"amaranthreach.example/standin/amrdemo"
+	"amaranthreach.example/standin/amrreplay"
+	"amaranthreach.example/standin/amrtrace"
 )
 
 func main() {
@@ -35,7 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(demoCommand())
+	c.AddCommand(demoCommand(), amrreplay.Command(), amrtrace.Command())
 	return c
 }
 
