--- a/core/amrreason/reason.go
+++ b/core/amrreason/reason.go
@@ -10,6 +10,8 @@
 // The reasons.
 const (
 	BadRequest         Code = "bad-request"
+	TooLarge           Code = "request-too-large"
+	NotReady           Code = "not-ready"
 	Unauthorized       Code = "unauthorized"
 	Forbidden          Code = "forbidden"
 	UnknownDeployment  Code = "unknown-deployment"
@@ -55,6 +57,8 @@
 
 var reasons = []Reason{
 	{BadRequest, NotRun, http.StatusBadRequest, "The request is not valid.", "Correct the field that the detail names and send it again."},
+	{TooLarge, NotRun, http.StatusRequestEntityTooLarge, "The request has more bytes than the router takes.", "Send a shorter request."},
+	{NotReady, NotRun, http.StatusServiceUnavailable, "The router has no configuration yet.", "Send it again; another router takes it."},
 	{Unauthorized, NotRun, http.StatusUnauthorized, "The bearer key belongs to no team.", "Send the key of a team in the Authorization header."},
 	{Forbidden, NotRun, http.StatusForbidden, "The team may not use this deployment.", "Ask an operator to add the team to the deployment."},
 	{UnknownDeployment, NotRun, http.StatusNotFound, "No deployment has this name.", "Name a deployment that exists."},
--- a/router/amrrouter/body.go
+++ b/router/amrrouter/body.go
@@ -50,6 +50,11 @@
 	return b.format.contentType(b.end)
 }
 
+// status returns the status of a plain service's answer, or 0.
+func (b *body) status() int {
+	return int(b.end.GetStatus())
+}
+
 // WriteTo writes the whole answer, or the events of a streamed one.
 func (b *body) WriteTo(w io.Writer) (int64, error) {
 	counter := &countingWriter{Writer: w}
@@ -84,10 +89,11 @@
 	if err := amrsse.Write(w, data); err != nil {
 		return err
 	}
-	if flusher, ok := w.Writer.(http.Flusher); ok {
-		flusher.Flush()
+	writer, ok := w.Writer.(http.ResponseWriter)
+	if !ok {
+		return nil
 	}
-	return nil
+	return http.NewResponseController(writer).Flush()
 }
 
 // Read is not used: WriteTo writes the answer.
@@ -102,16 +108,7 @@
 }
 
 func errorEvent(refused *refusal, id string) []byte {
-	m := refused.message(id)
-	return marshal(refusalBody{Error: refusalFields{
-		Message:   m.Refusal.Message,
-		Type:      m.Refusal.Type,
-		Code:      m.Refusal.Code,
-		Ran:       m.Refusal.Ran,
-		Remedy:    m.Refusal.Remedy,
-		Detail:    m.Refusal.Detail,
-		RequestID: id,
-	}})
+	return marshal(bodyOf(refused.message(id)))
 }
 
 func marshal(v any) []byte {
--- a/router/amrrouter/callers.go
+++ b/router/amrrouter/callers.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -33,11 +34,14 @@
 
 // APIKeyAuth finds the team of a bearer key.
 func (s *callersService) APIKeyAuth(ctx context.Context, key string, _ *security.APIKeyScheme) (context.Context, error) {
+	set := s.router.follower.Current()
+	if set.Revision() == 0 {
+		return ctx, s.router.refused(identityOf(ctx).id, "", refuse(amrreason.NotReady, "").withRetryAfter(time.Second))
+	}
 	digest := sha256.Sum256([]byte(key))
-	team, _, ok := s.router.follower.Current().TeamByKey(hex.EncodeToString(digest[:]))
+	team, _, ok := set.TeamByKey(hex.EncodeToString(digest[:]))
 	if !ok {
-		id := s.router.newID()
-		return ctx, s.router.refused(id, "", refuse(amrreason.Unauthorized, ""))
+		return ctx, s.router.refused(identityOf(ctx).id, "", refuse(amrreason.Unauthorized, ""))
 	}
 	return context.WithValue(ctx, teamKey{}, team), nil
 }
@@ -75,7 +79,7 @@
 	defer body.Close()
 	data, err := io.ReadAll(body)
 	if err != nil {
-		return nil, nil, s.router.refused(s.router.newID(), "", refuse(amrreason.BadRequest, "the body cannot be read"))
+		return nil, nil, s.router.refused(identityOf(ctx).id, "", unreadable(err))
 	}
 	contentType := contentTypeJSON
 	if p.ContentType != nil {
@@ -99,7 +103,8 @@
 // answer runs a call until its first event, so that a refusal has the status
 // of its reason.
 func (s *callersService) answer(ctx context.Context, c call, f format) (*callers.Answer, io.ReadCloser, error) {
-	id := s.router.newID()
+	identity := identityOf(ctx)
+	id := identity.id
 	c.team, _ = ctx.Value(teamKey{}).(string)
 	q, refused := s.router.newRequest(id, c)
 	if refused != nil {
@@ -118,6 +123,7 @@
 			return nil, nil, s.router.refused(id, c.team, refused)
 		}
 	}
+	identity.status = body.status()
 	answer := &callers.Answer{RequestID: id, ContentType: body.contentType()}
 	return answer, body, nil
 }
@@ -126,7 +132,8 @@
 	return fmt.Sprintf("%s.%s.%d", r.settings.Name, r.incarnation, r.sequence.Add(1))
 }
 
-func (r *Router) refused(id, team string, refused *refusal) error {
+// refused records a refusal and returns it as the callers' interface sends it.
+func (r *Router) refused(id, team string, refused *refusal) *callers.Refusal {
 	r.decisions.refused(id, team, refused, r.clock.Now())
 	r.metrics.refusals.WithLabelValues(string(refused.reason), string(refused.ran)).Inc()
 	r.log.Info("request-refused", "request", id, "team", team, "reason", refused.reason, "ran", refused.ran, "detail", refused.detail)
@@ -151,11 +158,15 @@
 
 // format returns the body of a refusal. Errors of the generated code, such as
 // an invalid body, become refusals too.
-func (s *callersService) format(_ context.Context, err error) goahttp.Statuser {
+func (s *callersService) format(ctx context.Context, err error) goahttp.Statuser {
 	var m *callers.Refusal
 	if !errors.As(err, &m) {
-		m = refuse(amrreason.BadRequest, detailOf(err)).message(s.router.newID())
+		m = s.router.refused(identityOf(ctx).id, "", unreadable(err))
 	}
+	return bodyOf(m)
+}
+
+func bodyOf(m *callers.Refusal) refusalBody {
 	return refusalBody{Error: refusalFields{
 		Message:   m.Refusal.Message,
 		Type:      m.Refusal.Type,
@@ -167,16 +178,18 @@
 	}}
 }
 
-func detailOf(err error) string {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit)
-	}
+// unreadable returns the refusal of a request that the generated code could
+// not decode.
+func unreadable(err error) *refusal {
 	var named *goa.ServiceError
+	detail := err.Error()
 	if errors.As(err, &named) {
-		return named.Message
+		detail = named.Message
+	}
+	if strings.Contains(detail, "request body too large") {
+		return refuse(amrreason.TooLarge, "body")
 	}
-	return err.Error()
+	return refuse(amrreason.BadRequest, detail)
 }
 
 type refusalBody struct {
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -190,7 +190,7 @@
 	server.Mount(mux)
 	limits := amrserve.DefaultLimits
 	limits.BodyBytes = r.settings.BodyBytes
-	return amrserve.HTTP(serving, withTLS(r.listeners.Callers, config), mux, limits, r.settings.StopGrace)
+	return amrserve.HTTP(serving, withTLS(r.listeners.Callers, config), r.withIdentity(mux), limits, r.settings.StopGrace)
 }
 
 func (r *Router) drain() {
--- a/router/design/design.go
+++ b/router/design/design.go
@@ -103,7 +103,6 @@
 var answer = Type("Answer", func() {
 	Attribute("request_id", String)
 	Attribute("content_type", String)
-	Attribute("status", String)
 	Required("request_id", "content_type")
 })
 
@@ -111,7 +110,6 @@
 	Response(StatusOK, func() {
 		Header("request_id:X-Request-Id")
 		Header("content_type:Content-Type")
-		Header("status:X-Service-Status")
 	})
 }
 
@@ -142,7 +140,7 @@
 			callHeaders()
 			sampling()
 			Attribute("messages", ArrayOf(message), func() { MinLength(1) })
-			Required("key", "model", "messages")
+			Required("model", "messages")
 		})
 		Result(answer)
 		HTTP(func() {
@@ -159,7 +157,7 @@
 			callHeaders()
 			sampling()
 			Attribute("prompt", String)
-			Required("key", "model", "prompt")
+			Required("model", "prompt")
 		})
 		Result(answer)
 		HTTP(func() {
@@ -178,7 +176,7 @@
 			Attribute("deployment", String)
 			Attribute("path", String)
 			Attribute("content_type", String)
-			Required("key", "deployment", "path")
+			Required("deployment", "path")
 		})
 		Result(answer)
 		HTTP(func() {
--- a/router/gen/callers/endpoints.go
+++ b/router/gen/callers/endpoints.go
@@ -87,7 +87,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		var key string
+		if p.Key != nil {
+			key = *p.Key
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -110,7 +114,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		var key string
+		if p.Key != nil {
+			key = *p.Key
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -133,7 +141,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, ep.Payload.Key, &sc)
+		var key string
+		if ep.Payload.Key != nil {
+			key = *ep.Payload.Key
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
--- a/router/gen/callers/service.go
+++ b/router/gen/callers/service.go
@@ -62,13 +62,12 @@
 type Answer struct {
 	RequestID   string
 	ContentType string
-	Status      *string
 }
 
 // CallPayload is the payload type of the callers service call method.
 type CallPayload struct {
 	// Key of the team.
-	Key string
+	Key *string
 	// Makes a non-idempotent request run at most once.
 	IdempotencyKey *string
 	// Time within which the whole answer is wanted, such as 30s.
@@ -83,7 +82,7 @@
 // ChatPayload is the payload type of the callers service chat method.
 type ChatPayload struct {
 	// Key of the team.
-	Key string
+	Key *string
 	// Makes a non-idempotent request run at most once.
 	IdempotencyKey *string
 	// Time within which the whole answer is wanted, such as 30s.
@@ -102,7 +101,7 @@
 // CompletePayload is the payload type of the callers service complete method.
 type CompletePayload struct {
 	// Key of the team.
-	Key string
+	Key *string
 	// Makes a non-idempotent request run at most once.
 	IdempotencyKey *string
 	// Time within which the whole answer is wanted, such as 30s.
--- a/router/gen/http/callers/client/cli.go
+++ b/router/gen/http/callers/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(callersChatBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": true,\n      \"max_tokens\": 18124,\n      \"messages\": [\n         {\n            \"content\": \"Necessitatibus delectus repellendus.\",\n            \"role\": \"x4n\"\n         }\n      ],\n      \"model\": \"d17\",\n      \"stream\": true\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": false,\n      \"max_tokens\": 20620,\n      \"messages\": [\n         {\n            \"content\": \"Repellendus quos illo esse mollitia.\",\n            \"role\": \"nq6\"\n         }\n      ],\n      \"model\": \"740\",\n      \"stream\": true\n   }'")
 		}
 		if body.Messages == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("messages", "body"))
@@ -53,9 +53,11 @@
 			return nil, err
 		}
 	}
-	var key string
+	var key *string
 	{
-		key = callersChatKey
+		if callersChatKey != "" {
+			key = &callersChatKey
+		}
 	}
 	var idempotencyKey *string
 	{
@@ -148,7 +150,7 @@
 	{
 		err = json.Unmarshal([]byte(callersCompleteBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": true,\n      \"max_tokens\": 6793,\n      \"model\": \"ant\",\n      \"prompt\": \"Ab voluptates cumque commodi.\",\n      \"stream\": true\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": false,\n      \"max_tokens\": 48983,\n      \"model\": \"ps8\",\n      \"prompt\": \"Quam quia inventore minus ab voluptates.\",\n      \"stream\": true\n   }'")
 		}
 		if utf8.RuneCountInString(body.Model) > 128 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.model", body.Model, utf8.RuneCountInString(body.Model), 128, false))
@@ -163,9 +165,11 @@
 			return nil, err
 		}
 	}
-	var key string
+	var key *string
 	{
-		key = callersCompleteKey
+		if callersCompleteKey != "" {
+			key = &callersCompleteKey
+		}
 	}
 	var idempotencyKey *string
 	{
@@ -251,9 +255,11 @@
 	{
 		path = callersCallPath
 	}
-	var key string
+	var key *string
 	{
-		key = callersCallKey
+		if callersCallKey != "" {
+			key = &callersCallKey
+		}
 	}
 	var idempotencyKey *string
 	{
--- a/router/gen/http/callers/client/encode_decode.go
+++ b/router/gen/http/callers/client/encode_decode.go
@@ -44,8 +44,8 @@
 		if !ok {
 			return goahttp.ErrInvalidType("callers", "chat", "*callers.ChatPayload", v)
 		}
-		{
-			head := p.Key
+		if p.Key != nil {
+			head := *p.Key
 			req.Header.Set("Authorization", head)
 		}
 		if p.IdempotencyKey != nil {
@@ -104,7 +104,6 @@
 			var (
 				requestID   string
 				contentType string
-				status      *string
 				err         error
 			)
 			requestIDRaw := resp.Header.Get("X-Request-Id")
@@ -117,14 +116,10 @@
 				err = goa.MergeErrors(err, goa.MissingFieldError("content_type", "header"))
 			}
 			contentType = contentTypeRaw
-			statusRaw := resp.Header.Get("X-Service-Status")
-			if statusRaw != "" {
-				status = &statusRaw
-			}
 			if err != nil {
 				return nil, goahttp.ErrValidationError("callers", "chat", err)
 			}
-			res := NewChatAnswerOK(requestID, contentType, status)
+			res := NewChatAnswerOK(requestID, contentType)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
@@ -637,8 +632,8 @@
 		if !ok {
 			return goahttp.ErrInvalidType("callers", "complete", "*callers.CompletePayload", v)
 		}
-		{
-			head := p.Key
+		if p.Key != nil {
+			head := *p.Key
 			req.Header.Set("Authorization", head)
 		}
 		if p.IdempotencyKey != nil {
@@ -697,7 +692,6 @@
 			var (
 				requestID   string
 				contentType string
-				status      *string
 				err         error
 			)
 			requestIDRaw := resp.Header.Get("X-Request-Id")
@@ -710,14 +704,10 @@
 				err = goa.MergeErrors(err, goa.MissingFieldError("content_type", "header"))
 			}
 			contentType = contentTypeRaw
-			statusRaw := resp.Header.Get("X-Service-Status")
-			if statusRaw != "" {
-				status = &statusRaw
-			}
 			if err != nil {
 				return nil, goahttp.ErrValidationError("callers", "complete", err)
 			}
-			res := NewCompleteAnswerOK(requestID, contentType, status)
+			res := NewCompleteAnswerOK(requestID, contentType)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
@@ -1246,8 +1236,8 @@
 			return goahttp.ErrInvalidType("callers", "call", "*callers.CallRequestData", v)
 		}
 		p := data.Payload
-		{
-			head := p.Key
+		if p.Key != nil {
+			head := *p.Key
 			req.Header.Set("Authorization", head)
 		}
 		if p.IdempotencyKey != nil {
@@ -1306,7 +1296,6 @@
 			var (
 				requestID   string
 				contentType string
-				status      *string
 				err         error
 			)
 			requestIDRaw := resp.Header.Get("X-Request-Id")
@@ -1319,14 +1308,10 @@
 				err = goa.MergeErrors(err, goa.MissingFieldError("content_type", "header"))
 			}
 			contentType = contentTypeRaw
-			statusRaw := resp.Header.Get("X-Service-Status")
-			if statusRaw != "" {
-				status = &statusRaw
-			}
 			if err != nil {
 				return nil, goahttp.ErrValidationError("callers", "call", err)
 			}
-			res := NewCallAnswerOK(requestID, contentType, status)
+			res := NewCallAnswerOK(requestID, contentType)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
--- a/router/gen/http/callers/client/types.go
+++ b/router/gen/http/callers/client/types.go
@@ -449,11 +449,10 @@
 
 // NewChatAnswerOK builds a "callers" service "chat" endpoint result from a
 // HTTP "OK" response.
-func NewChatAnswerOK(requestID string, contentType string, status *string) *callers.Answer {
+func NewChatAnswerOK(requestID string, contentType string) *callers.Answer {
 	v := &callers.Answer{}
 	v.RequestID = requestID
 	v.ContentType = contentType
-	v.Status = status
 
 	return v
 }
@@ -622,11 +621,10 @@
 
 // NewCompleteAnswerOK builds a "callers" service "complete" endpoint result
 // from a HTTP "OK" response.
-func NewCompleteAnswerOK(requestID string, contentType string, status *string) *callers.Answer {
+func NewCompleteAnswerOK(requestID string, contentType string) *callers.Answer {
 	v := &callers.Answer{}
 	v.RequestID = requestID
 	v.ContentType = contentType
-	v.Status = status
 
 	return v
 }
@@ -802,11 +800,10 @@
 
 // NewCallAnswerOK builds a "callers" service "call" endpoint result from a
 // HTTP "OK" response.
-func NewCallAnswerOK(requestID string, contentType string, status *string) *callers.Answer {
+func NewCallAnswerOK(requestID string, contentType string) *callers.Answer {
 	v := &callers.Answer{}
 	v.RequestID = requestID
 	v.ContentType = contentType
-	v.Status = status
 
 	return v
 }
--- a/router/gen/http/callers/server/encode_decode.go
+++ b/router/gen/http/callers/server/encode_decode.go
@@ -28,9 +28,6 @@
 		res, _ := v.(*callers.Answer)
 		w.Header().Set("X-Request-Id", res.RequestID)
 		w.Header().Set("Content-Type", res.ContentType)
-		if res.Status != nil {
-			w.Header().Set("X-Service-Status", *res.Status)
-		}
 		w.WriteHeader(http.StatusOK)
 		return nil
 	}
@@ -62,14 +59,14 @@
 		}
 
 		var (
-			key             string
+			key             *string
 			idempotencyKey  *string
 			timeout         *string
 			trafficPriority *int
 		)
-		key = r.Header.Get("Authorization")
-		if key == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		keyRaw := r.Header.Get("Authorization")
+		if keyRaw != "" {
+			key = &keyRaw
 		}
 		idempotencyKeyRaw := r.Header.Get("Idempotency-Key")
 		if idempotencyKeyRaw != "" {
@@ -109,10 +106,12 @@
 			return payload, err
 		}
 		payload = NewChatPayload(&body, key, idempotencyKey, timeout, trafficPriority)
-		if strings.Contains(payload.Key, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Key, " ", 2)[1]
-			payload.Key = cred
+		if payload.Key != nil {
+			if strings.Contains(*payload.Key, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Key, " ", 2)[1]
+				payload.Key = &cred
+			}
 		}
 
 		return payload, nil
@@ -389,9 +388,6 @@
 		res, _ := v.(*callers.Answer)
 		w.Header().Set("X-Request-Id", res.RequestID)
 		w.Header().Set("Content-Type", res.ContentType)
-		if res.Status != nil {
-			w.Header().Set("X-Service-Status", *res.Status)
-		}
 		w.WriteHeader(http.StatusOK)
 		return nil
 	}
@@ -423,14 +419,14 @@
 		}
 
 		var (
-			key             string
+			key             *string
 			idempotencyKey  *string
 			timeout         *string
 			trafficPriority *int
 		)
-		key = r.Header.Get("Authorization")
-		if key == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		keyRaw := r.Header.Get("Authorization")
+		if keyRaw != "" {
+			key = &keyRaw
 		}
 		idempotencyKeyRaw := r.Header.Get("Idempotency-Key")
 		if idempotencyKeyRaw != "" {
@@ -470,10 +466,12 @@
 			return payload, err
 		}
 		payload = NewCompletePayload(&body, key, idempotencyKey, timeout, trafficPriority)
-		if strings.Contains(payload.Key, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Key, " ", 2)[1]
-			payload.Key = cred
+		if payload.Key != nil {
+			if strings.Contains(*payload.Key, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Key, " ", 2)[1]
+				payload.Key = &cred
+			}
 		}
 
 		return payload, nil
@@ -750,9 +748,6 @@
 		res, _ := v.(*callers.Answer)
 		w.Header().Set("X-Request-Id", res.RequestID)
 		w.Header().Set("Content-Type", res.ContentType)
-		if res.Status != nil {
-			w.Header().Set("X-Service-Status", *res.Status)
-		}
 		w.WriteHeader(http.StatusOK)
 		return nil
 	}
@@ -766,7 +761,7 @@
 		var (
 			deployment      string
 			path            string
-			key             string
+			key             *string
 			idempotencyKey  *string
 			timeout         *string
 			trafficPriority *int
@@ -777,9 +772,9 @@
 		)
 		deployment = params["deployment"]
 		path = params["path"]
-		key = r.Header.Get("Authorization")
-		if key == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		keyRaw := r.Header.Get("Authorization")
+		if keyRaw != "" {
+			key = &keyRaw
 		}
 		idempotencyKeyRaw := r.Header.Get("Idempotency-Key")
 		if idempotencyKeyRaw != "" {
@@ -823,10 +818,12 @@
 			return payload, err
 		}
 		payload = NewCallPayload(deployment, path, key, idempotencyKey, timeout, trafficPriority, contentType)
-		if strings.Contains(payload.Key, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Key, " ", 2)[1]
-			payload.Key = cred
+		if payload.Key != nil {
+			if strings.Contains(*payload.Key, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Key, " ", 2)[1]
+				payload.Key = &cred
+			}
 		}
 
 		return payload, nil
--- a/router/gen/http/callers/server/types.go
+++ b/router/gen/http/callers/server/types.go
@@ -843,7 +843,7 @@
 }
 
 // NewChatPayload builds a callers service chat endpoint payload.
-func NewChatPayload(body *ChatRequestBody, key string, idempotencyKey *string, timeout *string, trafficPriority *int) *callers.ChatPayload {
+func NewChatPayload(body *ChatRequestBody, key *string, idempotencyKey *string, timeout *string, trafficPriority *int) *callers.ChatPayload {
 	v := &callers.ChatPayload{
 		Model: *body.Model,
 	}
@@ -882,7 +882,7 @@
 }
 
 // NewCompletePayload builds a callers service complete endpoint payload.
-func NewCompletePayload(body *CompleteRequestBody, key string, idempotencyKey *string, timeout *string, trafficPriority *int) *callers.CompletePayload {
+func NewCompletePayload(body *CompleteRequestBody, key *string, idempotencyKey *string, timeout *string, trafficPriority *int) *callers.CompletePayload {
 	v := &callers.CompletePayload{
 		Model:  *body.Model,
 		Prompt: *body.Prompt,
@@ -914,7 +914,7 @@
 }
 
 // NewCallPayload builds a callers service call endpoint payload.
-func NewCallPayload(deployment string, path string, key string, idempotencyKey *string, timeout *string, trafficPriority *int, contentType *string) *callers.CallPayload {
+func NewCallPayload(deployment string, path string, key *string, idempotencyKey *string, timeout *string, trafficPriority *int, contentType *string) *callers.CallPayload {
 	v := &callers.CallPayload{}
 	v.Deployment = deployment
 	v.Path = path
--- a/router/gen/http/cli/router/cli.go
+++ b/router/gen/http/cli/router/cli.go
@@ -31,8 +31,8 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 18124,\n      \"messages\": [\n         {\n            \"content\": \"Necessitatibus delectus repellendus.\",\n            \"role\": \"x4n\"\n         }\n      ],\n      \"model\": \"d17\",\n      \"stream\": true\n   }' --key \"Illo esse mollitia quaerat voluptatem facilis nemo.\" --idempotency-key \"nzq\" --timeout \"Maiores blanditiis omnis maiores unde.\" --traffic-priority 2" + "\n" +
-		os.Args[0] + " " + "operators explain --id \"Neque quisquam ut ratione.\" --key \"Distinctio officia repellendus quidem qui error.\"" + "\n" +
+	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 20620,\n      \"messages\": [\n         {\n            \"content\": \"Repellendus quos illo esse mollitia.\",\n            \"role\": \"nq6\"\n         }\n      ],\n      \"model\": \"740\",\n      \"stream\": true\n   }' --key \"Voluptatem facilis nemo fugit beatae voluptatibus.\" --idempotency-key \"4fo\" --timeout \"Maiores unde.\" --traffic-priority 2" + "\n" +
+		os.Args[0] + " " + "operators explain --id \"A vero quidem laborum quia et dicta.\" --key \"Velit dolorem ut ea ut deserunt in.\"" + "\n" +
 		""
 }
 
@@ -50,14 +50,14 @@
 
 		callersChatFlags               = flag.NewFlagSet("chat", flag.ExitOnError)
 		callersChatBodyFlag            = callersChatFlags.String("body", "REQUIRED", "")
-		callersChatKeyFlag             = callersChatFlags.String("key", "REQUIRED", "")
+		callersChatKeyFlag             = callersChatFlags.String("key", "", "")
 		callersChatIdempotencyKeyFlag  = callersChatFlags.String("idempotency-key", "", "")
 		callersChatTimeoutFlag         = callersChatFlags.String("timeout", "", "")
 		callersChatTrafficPriorityFlag = callersChatFlags.String("traffic-priority", "", "")
 
 		callersCompleteFlags               = flag.NewFlagSet("complete", flag.ExitOnError)
 		callersCompleteBodyFlag            = callersCompleteFlags.String("body", "REQUIRED", "")
-		callersCompleteKeyFlag             = callersCompleteFlags.String("key", "REQUIRED", "")
+		callersCompleteKeyFlag             = callersCompleteFlags.String("key", "", "")
 		callersCompleteIdempotencyKeyFlag  = callersCompleteFlags.String("idempotency-key", "", "")
 		callersCompleteTimeoutFlag         = callersCompleteFlags.String("timeout", "", "")
 		callersCompleteTrafficPriorityFlag = callersCompleteFlags.String("traffic-priority", "", "")
@@ -65,7 +65,7 @@
 		callersCallFlags               = flag.NewFlagSet("call", flag.ExitOnError)
 		callersCallDeploymentFlag      = callersCallFlags.String("deployment", "REQUIRED", "")
 		callersCallPathFlag            = callersCallFlags.String("path", "REQUIRED", "")
-		callersCallKeyFlag             = callersCallFlags.String("key", "REQUIRED", "")
+		callersCallKeyFlag             = callersCallFlags.String("key", "", "")
 		callersCallIdempotencyKeyFlag  = callersCallFlags.String("idempotency-key", "", "")
 		callersCallTimeoutFlag         = callersCallFlags.String("timeout", "", "")
 		callersCallTrafficPriorityFlag = callersCallFlags.String("traffic-priority", "", "")
@@ -227,7 +227,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 18124,\n      \"messages\": [\n         {\n            \"content\": \"Necessitatibus delectus repellendus.\",\n            \"role\": \"x4n\"\n         }\n      ],\n      \"model\": \"d17\",\n      \"stream\": true\n   }' --key \"Illo esse mollitia quaerat voluptatem facilis nemo.\" --idempotency-key \"nzq\" --timeout \"Maiores blanditiis omnis maiores unde.\" --traffic-priority 2")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 20620,\n      \"messages\": [\n         {\n            \"content\": \"Repellendus quos illo esse mollitia.\",\n            \"role\": \"nq6\"\n         }\n      ],\n      \"model\": \"740\",\n      \"stream\": true\n   }' --key \"Voluptatem facilis nemo fugit beatae voluptatibus.\" --idempotency-key \"4fo\" --timeout \"Maiores unde.\" --traffic-priority 2")
 }
 
 func callersCompleteUsage() {
@@ -253,7 +253,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 6793,\n      \"model\": \"ant\",\n      \"prompt\": \"Ab voluptates cumque commodi.\",\n      \"stream\": true\n   }' --key \"Quo animi.\" --idempotency-key \"22e\" --timeout \"Dolorem cum similique sit repellendus ut.\" --traffic-priority 0")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 48983,\n      \"model\": \"ps8\",\n      \"prompt\": \"Quam quia inventore minus ab voluptates.\",\n      \"stream\": true\n   }' --key \"Commodi atque.\" --idempotency-key \"op2\" --timeout \"Repellendus beatae dolorem cum similique sit repellendus.\" --traffic-priority 7")
 }
 
 func callersCallUsage() {
@@ -285,7 +285,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Ratione est quas ut quam enim.\" --path \"Optio minus aut saepe illum animi.\" --key \"Deleniti perspiciatis sapiente non fugiat et itaque.\" --idempotency-key \"9r4\" --timeout \"Error ab omnis maiores.\" --traffic-priority 0 --content-type \"Omnis voluptas.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Quo aut natus veniam necessitatibus atque eligendi.\" --path \"Sunt aut dolor saepe.\" --key \"Maxime reiciendis quo.\" --idempotency-key \"2z3\" --timeout \"Quam enim aut optio minus aut saepe.\" --traffic-priority 7 --content-type \"Qui deleniti perspiciatis sapiente.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -316,5 +316,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"Neque quisquam ut ratione.\" --key \"Distinctio officia repellendus quidem qui error.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"A vero quidem laborum quia et dicta.\" --key \"Velit dolorem ut ea ut deserunt in.\"")
 }
