--- /dev/null
+++ b/core/amrledger/ledger_test.go
@@ -0,0 +1,210 @@
+package amrledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+
+	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/core/amrreason"
+)
+
+// TestLedger runs the scripts in testdata on fake time.
+func TestLedger(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench()
+			datadriven.RunTest(t, path, b.run)
+		})
+	})
+}
+
+// bench is two routers and two sidecars over one platform.
+type bench struct {
+	clock    clockwork.Clock
+	start    time.Time
+	platform *amrmemory.Platform
+	routers  map[string]*Ledger
+	sidecars map[string]*benchSidecar
+	log      strings.Builder
+}
+
+// benchSidecar runs claims, or fails to, as its mode says.
+type benchSidecar struct {
+	name    string
+	process int
+	claims  *Claims
+	mode    string
+	body    string // Answer of its runs, in place of the default one.
+	runs    int
+}
+
+func newBench() *bench {
+	clock := clockwork.NewRealClock()
+	b := &bench{clock: clock, start: clock.Now(), routers: map[string]*Ledger{}, sidecars: map[string]*benchSidecar{}}
+	b.platform = amrmemory.New(amrmemory.WithClock(clock))
+	for i, name := range []string{"a", "b"} {
+		b.routers[name] = New(b.platform, b.platform, WithClock(clock), WithRand(rand.New(rand.NewPCG(1, uint64(i)))))
+	}
+	for _, name := range []string{"s1", "s2"} {
+		b.sidecars[name] = &benchSidecar{name: name, claims: NewClaims(name + "/0")}
+	}
+	return b
+}
+
+func (b *bench) run(t *testing.T, d *datadriven.TestData) string {
+	b.log.Reset()
+	switch d.Cmd {
+	case "faults":
+		b.platform.SetFaults(faultsOf(t, d))
+	case "sidecar":
+		b.setSidecar(t, d)
+	case "call":
+		b.call(t, d)
+	case "pass":
+		var epochs int
+		d.ScanArgs(t, "epochs", &epochs)
+		for range epochs {
+			b.clock.Sleep(EpochLength)
+			b.maintain(t) // Ends the epoch.
+			b.maintain(t) // Sees the next one.
+		}
+	case "maintain":
+		b.maintain(t)
+	case "sweep":
+		l := b.routers["a"]
+		fmt.Fprintf(&b.log, "deleted %d\n", l.Sweep(t.Context())+l.Sweep(t.Context()))
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+	}
+	return b.log.String()
+}
+
+func (b *bench) maintain(t *testing.T) {
+	for _, l := range b.routers {
+		l.RecordBacklog(t.Context())
+		l.FollowEpoch(t.Context())
+	}
+}
+
+func faultsOf(t *testing.T, d *datadriven.TestData) amrmemory.Faults {
+	var f amrmemory.Faults
+	f.Down = d.HasArg("down")
+	d.MaybeScanArgs(t, "lose", &f.LoseNext)
+	d.MaybeScanArgs(t, "delay", &f.DelayNext)
+	return f
+}
+
+func (b *bench) setSidecar(t *testing.T, d *datadriven.TestData) {
+	var name string
+	d.ScanArgs(t, "name", &name)
+	s := b.sidecars[name]
+	s.mode, s.body = "", ""
+	d.MaybeScanArgs(t, "mode", &s.mode)
+	if d.HasArg("large") {
+		s.body = strings.Repeat("x", InlineAnswerBytes+1)
+	}
+	if d.HasArg("restart") {
+		s.process++
+		s.claims = NewClaims(fmt.Sprint(name, "/", s.process))
+	}
+}
+
+func (b *bench) call(t *testing.T, d *datadriven.TestData) {
+	router, key, body, servers := "a", "k", "order", "s1"
+	d.MaybeScanArgs(t, "router", &router)
+	d.MaybeScanArgs(t, "key", &key)
+	d.MaybeScanArgs(t, "body", &body)
+	d.MaybeScanArgs(t, "servers", &servers)
+	began := b.clock.Now()
+	action := b.routers[router].Run(t.Context(), Call{
+		Team: "recife", Key: key, RequestID: "r", Digest: Digest(body), Deadline: began.Add(10 * time.Second),
+	}, &benchBackend{bench: b, servers: strings.Split(servers, "+")})
+	switch end := action.(type) {
+	case Answered:
+		fmt.Fprintf(&b.log, "answered %.20s replayed=%t recorded=%t", end.Answer.Body, end.Replayed, end.Recorded)
+	case Refused:
+		fmt.Fprintf(&b.log, "refused %s %s", end.Reason, end.Ran)
+		if end.Detail != "" {
+			fmt.Fprintf(&b.log, ": %s", end.Detail)
+		}
+	}
+	fmt.Fprintf(&b.log, " in %v; runs s1=%d s2=%d\n", b.clock.Since(began), b.sidecars["s1"].runs, b.sidecars["s2"].runs)
+}
+
+// benchBackend places claims on the servers in turn.
+type benchBackend struct {
+	bench   *bench
+	servers []string
+	next    int
+}
+
+func (b *benchBackend) now() time.Duration {
+	return b.bench.clock.Since(b.bench.start)
+}
+
+func (b *benchBackend) Place(context.Context) Event {
+	if b.next == len(b.servers) {
+		return NotPlaced{Reason: amrreason.NoBackendServer}
+	}
+	s := b.bench.sidecars[b.servers[b.next]]
+	b.next++
+	return Placed{Place: Place{Server: s.name, Incarnation: fmt.Sprint(s.name, "/", s.process), WindowEnd: b.now() + 5*time.Second}}
+}
+
+func (b *benchBackend) Dispatch(_ context.Context, row Row) Event {
+	s := b.bench.sidecars[row.Server]
+	fmt.Fprintf(&b.bench.log, "dispatch to %s fence=%d\n", row.Server, row.Fence)
+	switch s.mode {
+	case "decline":
+		return NotRun{Reason: amrreason.Overloaded, Elsewhere: true}
+	case "cut-before":
+		return ConnectionLost{}
+	case "slow-router":
+		b.bench.clock.Sleep(6 * time.Second)
+	}
+	ok, reason, ran := s.claims.Start(b.now(), claimOf(row))
+	if !ok && ran == amrreason.NotRun {
+		return NotRun{Reason: reason, Elsewhere: true}
+	}
+	if !ok {
+		return Broken{Reason: reason}
+	}
+	s.runs++
+	if s.mode == "crash" {
+		s.claims.Fail(row.Token)
+		return Broken{Reason: amrreason.EngineLost}
+	}
+	answer := &Answer{Body: []byte(fmt.Sprintf("run %d on %s", s.runs, s.name))}
+	if s.body != "" {
+		answer.Body = []byte(s.body)
+	}
+	switch s.mode {
+	case "hang":
+		return ConnectionLost{}
+	case "outage-after":
+		b.bench.platform.SetFaults(amrmemory.Faults{Down: true})
+	}
+	s.claims.Finish(row.Token, answer)
+	if s.mode == "cut-after" {
+		return ConnectionLost{}
+	}
+	return Ended{Answer: answer}
+}
+
+func (b *benchBackend) Seal(_ context.Context, row Row) Event {
+	s := b.bench.sidecars[row.Server]
+	if s.mode == "unreachable" {
+		return SealUnanswered{}
+	}
+	outcome, answer := s.claims.Seal(b.now(), claimOf(row))
+	fmt.Fprintf(&b.bench.log, "seal at %s: %s\n", row.Server, outcome)
+	return SealAnswered{Outcome: outcome, Answer: answer}
+}
