Add open-loop load, and one pacer for it and the replay

standin load compares a load sent to engines directly with the same through routers and sidecars, or sends it to given targets.

--- a/standin/amrengine/orders.go
+++ b/standin/amrengine/orders.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"amaranthreach.example/standin/amrpace"
 )
 
 // Order is an order that was carried out.
@@ -162,12 +164,5 @@
 }
 
 func (e *Engine) pauseFor(ctx context.Context, d time.Duration) error {
-	timer := e.settings.clock.NewTimer(e.settings.scaled(d))
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return amrpace.SleepUntil(ctx, e.settings.clock, e.settings.clock.Now().Add(e.settings.scaled(d)))
 }
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -97,6 +97,9 @@
 	metrics string
 }
 
+// URL returns the URL of the backend server itself.
+func (s *Server) URL() string { return s.url }
+
 // RouterProcess is a router of a fleet.
 type RouterProcess struct {
 	*Process
--- /dev/null
+++ b/standin/amrload/command.go
@@ -0,0 +1,116 @@
+package amrload
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+)
+
+const (
+	defaultDuration     = 10 * time.Second
+	defaultPromptTokens = 2000
+	defaultOutputTokens = 16
+	defaultEngines      = 12
+	defaultRouters      = 3
+)
+
+var badFlag = errorx.NewNamespace("load").NewType("bad-flag")
+
+// Command returns the command "load".
+func Command() *cobra.Command {
+	var load Load
+	var rates []float64
+	engines, routers := defaultEngines, defaultRouters
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Send requests at a steady rate and measure latencies",
+		Long: `Send requests at a steady rate in open loop and print latencies, counted from when a request
+was due. Without --target, a fleet of fast stand-in engines is started in this process, and the
+load is sent to the engines directly and then through routers and sidecars.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if len(rates) == 0 || load.PromptTokens <= 0 || load.OutputTokens <= 0 {
+				return badFlag.New("--rate, --prompt-tokens and --output-tokens: give numbers above 0")
+			}
+			for _, rate := range rates {
+				if rate <= 0 {
+					return badFlag.New("--rate: give numbers above 0")
+				}
+			}
+			if len(load.URLs) > 0 {
+				return runTargets(c, load, rates)
+			}
+			comparisons, err := Compare(c.Context(), load, rates, engines, routers)
+			if err != nil {
+				return err
+			}
+			var rows []row
+			for _, v := range comparisons {
+				rows = append(rows, row{"direct", v.Rate, v.Direct}, row{"routed", v.Rate, v.Routed})
+			}
+			return writeTable(c.OutOrStdout(), rows)
+		},
+	}
+	set := c.Flags()
+	set.StringSliceVar(&load.URLs, "target", nil, "URLs of routers or engines, used in turn")
+	set.StringVar(&load.Key, "key", "", "bearer key of a team")
+	set.StringVar(&load.Model, "model", "m1", "deployment to ask for")
+	set.Float64SliceVar(&rates, "rate", []float64{100}, "requests per second, one run for each")
+	set.DurationVar(&load.Duration, "duration", defaultDuration, "length of a run")
+	set.IntVar(&load.PromptTokens, "prompt-tokens", defaultPromptTokens, "length of a prompt")
+	set.IntVar(&load.OutputTokens, "output-tokens", defaultOutputTokens, "length of an answer")
+	set.IntVar(&engines, "engines", defaultEngines, "engines of the fleet in this process")
+	set.IntVar(&routers, "routers", defaultRouters, "routers of the fleet in this process")
+	return c
+}
+
+func runTargets(c *cobra.Command, load Load, rates []float64) error {
+	var rows []row
+	for _, rate := range rates {
+		load.Rate = rate
+		result, err := load.Run(c.Context())
+		if err != nil {
+			return err
+		}
+		rows = append(rows, row{strings.Join(load.URLs, " "), rate, result})
+	}
+	return writeTable(c.OutOrStdout(), rows)
+}
+
+type row struct {
+	name   string
+	rate   float64
+	result Result
+}
+
+func writeTable(w io.Writer, rows []row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "path\trate\tsent\tanswered\tlateness p99\tfirst p50\tfirst p99\tfirst p99.9\twhole p50\twhole p99\t")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t\n", r.name, r.rate, r.result.Sent, r.result.Answered,
+			milliseconds(r.result.Lateness.Percentile(percentileTail)),
+			milliseconds(r.result.First.Percentile(percentileMedian)),
+			milliseconds(r.result.First.Percentile(percentileTail)),
+			milliseconds(r.result.First.Percentile(percentileExtreme)),
+			milliseconds(r.result.Whole.Percentile(percentileMedian)),
+			milliseconds(r.result.Whole.Percentile(percentileTail)))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		for failure, n := range r.result.Failed {
+			fmt.Fprintf(w, "%s at %.0f/s: %d failed: %s\n", r.name, r.rate, n, failure)
+		}
+	}
+	return nil
+}
+
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.2f ms", float64(d)/float64(time.Millisecond))
+}
--- /dev/null
+++ b/standin/amrload/compare.go
@@ -0,0 +1,98 @@
+package amrload
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/standin/amrengine"
+	"amaranthreach.example/standin/amrfleet"
+)
+
+const (
+	compareTeam       = "load"
+	comparePolicy     = "load"
+	compareZones      = 3
+	fastPrefill       = 1e9 // Tokens per second.
+	fastDecode        = time.Millisecond
+	compareBatch      = 256
+	compareDeadline   = time.Minute
+	compareStopGrace  = 2 * time.Second
+	percentileMedian  = 50
+	percentileTail    = 99
+	percentileExtreme = 99.9
+)
+
+// Comparison is a load sent to engines directly and through routers and
+// sidecars.
+type Comparison struct {
+	Rate           float64
+	Direct, Routed Result
+}
+
+// Compare starts a fleet of fast engines and sends the load at each rate to the
+// engines directly and then through the routers.
+func Compare(ctx context.Context, load Load, rates []float64, engines, routers int) ([]Comparison, error) {
+	config := amrfleet.DefaultConfig
+	config.Engines, config.Routers, config.Services = engines, routers, 0
+	config.AvailabilityZones = compareZones
+	config.StopGrace = compareStopGrace
+	config.EngineOptions = []amrengine.Option{
+		amrengine.WithPrefillRate(fastPrefill),
+		amrengine.WithDecodeStep(fastDecode),
+		amrengine.WithBatchLimit(compareBatch),
+	}
+	fleet, err := amrfleet.Start(context.WithoutCancel(ctx), config)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Stop() //nolint:errcheck // The figures have been taken.
+	if err := fleet.Apply(ctx, compareRecords(fleet)...); err != nil {
+		return nil, err
+	}
+	load.Model = amrfleet.ModelDeployment
+	load.Key = compareTeam
+	var direct, routed []string
+	for _, s := range fleet.Servers {
+		direct = append(direct, s.URL())
+	}
+	for _, r := range fleet.Routers {
+		routed = append(routed, r.CallersURL())
+	}
+	var comparisons []Comparison
+	for _, rate := range rates {
+		c := Comparison{Rate: rate}
+		load.Rate = rate
+		load.URLs = direct
+		if c.Direct, err = load.Run(ctx); err != nil {
+			return nil, err
+		}
+		load.URLs = routed
+		if c.Routed, err = load.Run(ctx); err != nil {
+			return nil, err
+		}
+		comparisons = append(comparisons, c)
+	}
+	return comparisons, nil
+}
+
+func compareRecords(fleet *amrfleet.Fleet) []amrrecord.Record {
+	digest := sha256.Sum256([]byte(compareTeam))
+	return append(fleet.Records(),
+		amrrecord.Record{Name: compareTeam, Spec: amrrecord.Team{KeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1}},
+		amrrecord.Record{Name: comparePolicy, Spec: amrrecord.RoutingPolicy{
+			Policy:          amrrecord.PolicyCacheAware,
+			RecomputeWeight: 1,
+			WaitWeight:      1,
+			Deadline:        compareDeadline,
+		}},
+		amrrecord.Record{Name: amrfleet.ModelDeployment, Spec: amrrecord.Deployment{
+			Type:          amrrecord.TypeModel,
+			Model:         amrfleet.ModelDeployment,
+			Versions:      []amrrecord.Version{{Weights: amrfleet.Weights, Share: 100}},
+			RoutingPolicy: comparePolicy,
+		}},
+	)
+}
--- /dev/null
+++ b/standin/amrload/load_test.go
@@ -0,0 +1,43 @@
+package amrload
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/standin/amrengine"
+)
+
+// TestLoad sends to an engine and to a server that refuses everything.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	engine := amrengine.New(amrengine.WithPrefillRate(fastPrefill), amrengine.WithDecodeStep(fastDecode))
+	target := httptest.NewServer(engine.Handler())
+	defer target.Close()
+	refusing := httptest.NewServer(http.NotFoundHandler())
+	defer refusing.Close()
+	load := Load{URLs: []string{target.URL, refusing.URL}, Rate: 200, Duration: 250 * time.Millisecond, PromptTokens: 100, OutputTokens: 3}
+	result, err := load.Run(t.Context())
+	is.NoErr(err)
+	is.True(result.Sent > 20 && result.Sent < 100) // 50 in the mean.
+	is.Equal(result.Answered, len(engine.Log()))
+	is.Equal(result.Failed, map[string]int{"404 Not Found": result.Sent - result.Answered})
+	is.Equal(result.Whole.Count(), result.Answered)
+	is.True(result.Whole.Percentile(50) >= 2*fastDecode)
+}
+
+// TestCompare checks that all requests are answered on both paths.
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	load := Load{Duration: 200 * time.Millisecond, PromptTokens: 100, OutputTokens: 3}
+	comparisons, err := Compare(t.Context(), load, []float64{100}, 2, 2)
+	is.NoErr(err)
+	is.Equal(len(comparisons), 1)
+	c := comparisons[0]
+	is.True(c.Direct.Sent > 0)
+	is.Equal(c.Direct.Answered, c.Direct.Sent)
+	is.Equal(c.Routed.Answered, c.Routed.Sent)
+}
--- /dev/null
+++ b/standin/amrpace/pace_test.go
@@ -0,0 +1,51 @@
+package amrpace
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+// TestRun checks that a slow request does not delay the next ones.
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock() // The bubble's.
+		begin := clock.Now()
+		sends := make(chan Send, 10)
+		lateness, latency := NewHistogram(), NewHistogram()
+		var done atomic.Int32
+		for i := range 10 {
+			due := begin.Add(time.Duration(i) * time.Second)
+			sends <- Send{due, func() {
+				lateness.Record(clock.Since(due))
+				_ = SleepUntil(t.Context(), clock, clock.Now().Add(time.Minute))
+				latency.Record(clock.Since(due))
+				done.Add(1)
+			}}
+		}
+		close(sends)
+		is.NoErr(Run(t.Context(), clock, sends))
+		is.Equal(done.Load(), int32(10))
+		is.Equal(clock.Since(begin), 69*time.Second)
+		is.Equal(lateness.Percentile(100), time.Microsecond) // The least that counts.
+		is.Equal(latency.Percentile(50).Round(time.Second), time.Minute)
+		is.Equal(latency.Count(), 10)
+	})
+}
+
+func TestRunCanceled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		sends := make(chan Send, 1)
+		sends <- Send{clockwork.NewRealClock().Now().Add(time.Hour), func() { t.Error("sent after the end") }}
+		cancel()
+		is.Equal(Run(ctx, clockwork.NewRealClock(), sends), context.Canceled)
+	})
+}
--- a/standin/amrreplay/inject.go
+++ b/standin/amrreplay/inject.go
@@ -13,6 +13,7 @@
 	"amaranthreach.example/core/amrmemory"
 	"amaranthreach.example/core/amrrecord"
 	"amaranthreach.example/standin/amrfleet"
+	"amaranthreach.example/standin/amrpace"
 )
 
 const (
@@ -27,7 +28,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, f := range p.settings.faults {
 		group.Go(func() error {
-			if p.settings.sleepUntil(ctx, p.begin.Add(p.settings.scaled(f.At))) != nil {
+			if amrpace.SleepUntil(ctx, p.settings.clock, p.begin.Add(p.settings.scaled(f.At))) != nil {
 				return nil // The replay is over.
 			}
 			fmt.Fprintf(p.settings.progress, "policy=%s fault=%s target=%s at=%s\n", p.policy, f.Kind, f.Target, f.At)
@@ -170,7 +171,7 @@
 
 // wait waits for a time of the trace or until ctx is done.
 func (p *play) wait(ctx context.Context, d time.Duration) {
-	_ = p.settings.sleepUntil(ctx, p.settings.clock.Now().Add(p.settings.scaled(d)))
+	_ = amrpace.SleepUntil(ctx, p.settings.clock, p.settings.clock.Now().Add(p.settings.scaled(d)))
 }
 
 func (p *play) server(name string) *amrfleet.Server {
--- a/standin/amrreplay/measure.go
+++ b/standin/amrreplay/measure.go
@@ -7,16 +7,14 @@
 	"strings"
 	"time"
 
-	hdr "github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/joomcode/errorx"
 
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/standin/amrengine"
+	"amaranthreach.example/standin/amrpace"
 )
 
 const (
-	longestTime      = int64(time.Hour / time.Microsecond)
-	significant      = 3
 	windowLength     = time.Second
 	sampleInterval   = 50 * time.Millisecond
 	firstOfRouter    = 100                   // Requests.
@@ -69,11 +67,11 @@
 func (m measurement) result() Result {
 	r := Result{Policy: m.policy, Requests: len(m.calls)}
 	r.Details.Refusals = make(map[string]int)
-	ttft, lateness := newHistogram(), newHistogram()
+	ttft, lateness := amrpace.NewHistogram(), amrpace.NewHistogram()
 	for i := range m.calls {
 		c := &m.calls[i]
 		m.count(c, &r)
-		record(lateness, m.settings.unscaled(c.sent-c.due))
+		lateness.Record(m.settings.unscaled(c.sent - c.due))
 		m.recordFirst(ttft, c)
 	}
 	var hits hitCounter
@@ -86,9 +84,9 @@
 	}
 	r.Doubled = m.doubled()
 	r.HitRate = hits.rate()
-	r.TTFT50, r.TTFT99 = percentile(ttft, percentileMedian), percentile(ttft, percentileTail)
-	r.Details.TTFTMean = time.Duration(ttft.Mean()) * time.Microsecond
-	r.Details.DispatchLateness = percentile(lateness, percentileTail)
+	r.TTFT50, r.TTFT99 = ttft.Percentile(percentileMedian), ttft.Percentile(percentileTail)
+	r.Details.TTFTMean = ttft.Mean()
+	r.Details.DispatchLateness = lateness.Percentile(percentileTail)
 	r.Details.Teams = m.teams()
 	r.Details.Windows, r.Details.InFlightMaxMean = m.windows()
 	r.Details.Routers = m.routers()
@@ -141,26 +139,26 @@
 
 // recordFirst notes the time to the first token, or the whole time of a
 // request that was cut or got none. Refused requests do not count.
-func (m measurement) recordFirst(h *hdr.Histogram, c *call) {
+func (m measurement) recordFirst(h *amrpace.Histogram, c *call) {
 	switch {
 	case c.first > 0:
-		record(h, m.settings.unscaled(c.first-c.due))
+		h.Record(m.settings.unscaled(c.first - c.due))
 	case c.outcome != outcomeRefused:
-		record(h, m.settings.unscaled(c.done-c.due))
+		h.Record(m.settings.unscaled(c.done - c.due))
 	}
 }
 
 func (m measurement) teams() []TeamResult {
 	type team struct {
 		TeamResult
-		ttft *hdr.Histogram
+		ttft *amrpace.Histogram
 		hits hitCounter
 	}
 	teams := make(map[string]*team)
 	for i, request := range m.requests {
 		t := teams[request.Team]
 		if t == nil {
-			t = &team{TeamResult: TeamResult{Team: request.Team}, ttft: newHistogram()}
+			t = &team{TeamResult: TeamResult{Team: request.Team}, ttft: amrpace.NewHistogram()}
 			teams[request.Team] = t
 		}
 		t.Requests++
@@ -172,7 +170,7 @@
 	var results []TeamResult
 	for _, name := range slices.Sorted(maps.Keys(teams)) {
 		t := teams[name]
-		t.TTFT50, t.TTFT99 = percentile(t.ttft, percentileMedian), percentile(t.ttft, percentileTail)
+		t.TTFT50, t.TTFT99 = t.ttft.Percentile(percentileMedian), t.ttft.Percentile(percentileTail)
 		t.HitRate = t.hits.rate()
 		results = append(results, t.TeamResult)
 	}
@@ -184,10 +182,10 @@
 func (m measurement) windows() ([]Window, float64) {
 	count := int(m.requests[len(m.requests)-1].At/windowLength) + 1
 	windows := make([]Window, count)
-	ttft, hits := make([]*hdr.Histogram, count), make([]hitCounter, count)
+	ttft, hits := make([]*amrpace.Histogram, count), make([]hitCounter, count)
 	for i := range windows {
 		windows[i].At = time.Duration(i) * windowLength
-		ttft[i] = newHistogram()
+		ttft[i] = amrpace.NewHistogram()
 	}
 	for i, request := range m.requests {
 		w := int(request.At / windowLength)
@@ -199,7 +197,7 @@
 	}
 	most, ratio := m.inFlight(count)
 	for i := range windows {
-		windows[i].TTFT50, windows[i].TTFT99 = percentile(ttft[i], percentileMedian), percentile(ttft[i], percentileTail)
+		windows[i].TTFT50, windows[i].TTFT99 = ttft[i].Percentile(percentileMedian), ttft[i].Percentile(percentileTail)
 		windows[i].HitRate = hits[i].rate()
 		windows[i].InFlight = most[i]
 	}
@@ -318,18 +316,3 @@
 	}
 	return float64(h.cached) / float64(h.prompt)
 }
-
-func newHistogram() *hdr.Histogram {
-	return hdr.New(1, longestTime, significant)
-}
-
-func record(h *hdr.Histogram, d time.Duration) {
-	_ = h.RecordValue(min(max(d.Microseconds(), 1), longestTime)) // Within the histogram's range.
-}
-
-func percentile(h *hdr.Histogram, p float64) time.Duration {
-	if h.TotalCount() == 0 {
-		return 0
-	}
-	return time.Duration(h.ValueAtQuantile(p)) * time.Microsecond
-}
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -13,6 +13,7 @@
 	"amaranthreach.example/core/amrrecord"
 	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrfleet"
+	"amaranthreach.example/standin/amrpace"
 	"amaranthreach.example/standin/amrtrace"
 )
 
@@ -113,37 +114,33 @@
 	_ = p.fleet.Stop()
 }
 
-// prepared is a request whose body has been made.
-type prepared struct {
-	index int
-	body  requestBody
-}
-
 // run sends all requests and waits for their answers.
 func (p *play) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ready := make(chan prepared, prepareAhead)
+	sends := make(chan amrpace.Send, prepareAhead)
 	p.begin = p.settings.clock.Now()
-	var calls errgroup.Group
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.prepare(ctx, ready) })
+	group.Go(func() error { return p.prepare(ctx, sends) })
 	group.Go(func() error { return p.inject(ctx) })
 	group.Go(func() error { return p.report(ctx) })
 	group.Go(func() error {
 		defer cancel() // Ends the injection of faults and the progress.
-		err := p.send(ctx, ready, &calls)
-		_ = calls.Wait()
-		return err
+		return amrpace.Run(ctx, p.settings.clock, sends)
 	})
 	return group.Wait()
 }
 
-func (p *play) prepare(ctx context.Context, ready chan<- prepared) error {
-	defer close(ready)
+// prepare makes the bodies of requests before they are due.
+func (p *play) prepare(ctx context.Context, sends chan<- amrpace.Send) error {
+	defer close(sends)
+	now := func() time.Duration { return p.settings.clock.Since(p.begin) }
 	for i, r := range p.requests {
+		body, c := newRequestBody(r), &p.calls[i]
+		c.due = p.settings.scaled(r.At)
+		send := amrpace.Send{Due: p.begin.Add(c.due), Do: func() { p.caller.call(ctx, body, c, now) }}
 		select {
-		case ready <- prepared{i, newRequestBody(r)}:
+		case sends <- send:
 		case <-ctx.Done():
 			return nil
 		}
@@ -151,23 +148,6 @@
 	return nil
 }
 
-// send sends each request when it is due.
-func (p *play) send(ctx context.Context, ready <-chan prepared, calls *errgroup.Group) error {
-	for next := range ready {
-		due := p.settings.scaled(p.requests[next.index].At)
-		if err := p.settings.sleepUntil(ctx, p.begin.Add(due)); err != nil {
-			return err
-		}
-		calls.Go(func() error {
-			c := &p.calls[next.index]
-			c.due = due
-			p.caller.call(ctx, next.body, c, func() time.Duration { return p.settings.clock.Since(p.begin) })
-			return nil
-		})
-	}
-	return nil
-}
-
 // report writes progress now and then.
 func (p *play) report(ctx context.Context) error {
 	ticker := p.settings.clock.NewTicker(progressInterval)
@@ -191,21 +171,6 @@
 	return time.Duration(float64(d) * s.timeScale)
 }
 
-func (s settings) sleepUntil(ctx context.Context, at time.Time) error {
-	wait := at.Sub(s.clock.Now())
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := s.clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func teamKey(team string) string {
 	return "key-of-" + team
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"amaranthreach.example/standin/amrdemo"
+	"amaranthreach.example/standin/amrload"
 	"amaranthreach.example/standin/amrreplay"
 	"amaranthreach.example/standin/amrtrace"
 )
@@ -37,7 +38,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(demoCommand(), serveCommand(), amrreplay.Command(), amrtrace.Command())
+	c.AddCommand(demoCommand(), serveCommand(), amrreplay.Command(), amrload.Command(), amrtrace.Command())
 	return c
 }
 
