Explain decisions in plain words, and decline stale configuration

Decisions go to a bounded ring and in batches to the object store, under the minute, router and incarnation that the request id names, so that any router finds those of any other, dead ones included. Refusals are also kept apart for searches by team, reason and time. During an outage the oldest are dropped and counted. The floor tells a sidecar which revisions are no longer in force.

--- a/core/amrconfig/compact.go
+++ b/core/amrconfig/compact.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"amaranthreach.example/core/amraudit"
+	"amaranthreach.example/core/amrpack"
 	"amaranthreach.example/core/amrplatform"
 )
 
@@ -69,7 +70,7 @@
 	if len(entries) == 0 {
 		return nil, nil
 	}
-	data, err := zip(entries)
+	data, err := amrpack.Marshal(entries)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/core/amrconfig/floor_test.go
@@ -0,0 +1,60 @@
+package amrconfig_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrconfig"
+)
+
+// TestFloor plays the dispatches of testdata/floor, one a line: the time since
+// the start and the revision.
+func TestFloor(t *testing.T) {
+	datadriven.RunTest(t, "testdata/floor", func(t *testing.T, d *datadriven.TestData) string {
+		var floor amrconfig.Floor
+		var b strings.Builder
+		start := time.Unix(1e9, 0)
+		for line := range strings.Lines(d.Input) {
+			var after string
+			var revision uint64
+			if _, err := fmt.Sscan(line, &after, &revision); err != nil {
+				return err.Error()
+			}
+			offset, err := time.ParseDuration(after)
+			if err != nil {
+				return err.Error()
+			}
+			result := "declined"
+			if floor.Fresh(start.Add(offset), revision) {
+				result = "runs"
+			}
+			fmt.Fprintf(&b, "%s %d %s, highest %d\n", after, revision, result, floor.Highest())
+		}
+		return b.String()
+	})
+}
+
+// TestFloorPace checks that a router that lags by less than the bound is never
+// declined while changes come fast.
+func TestFloorPace(t *testing.T) {
+	const (
+		perSecond = 50
+		lag       = amrconfig.InForceBound - time.Second
+	)
+	is := is.New(t)
+	var floor amrconfig.Floor
+	start := time.Unix(1e9, 0)
+	for i := range 60 * perSecond {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		is.True(floor.Fresh(now, uint64(i)))
+		late := i - int(lag.Seconds()*perSecond)
+		is.True(floor.Fresh(now, uint64(max(late, 0))))
+		old := i - int(1.5*amrconfig.InForceBound.Seconds()*perSecond)
+		is.True(old < 0 || !floor.Fresh(now, uint64(old)))
+	}
+}
--- a/core/amrconfig/log.go
+++ b/core/amrconfig/log.go
@@ -1,14 +1,13 @@
 package amrconfig
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 
 	"github.com/joomcode/errorx"
 
 	"amaranthreach.example/core/amraudit"
+	"amaranthreach.example/core/amrpack"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrrecord"
 )
@@ -71,7 +70,7 @@
 		return nil, err
 	}
 	var entries []amraudit.Entry
-	if err := unzip(data, &entries); err != nil {
+	if err := amrpack.Unmarshal(data, &entries); err != nil {
 		return nil, err
 	}
 	for len(entries) > 0 && entries[0].Revision <= after {
@@ -139,21 +138,3 @@
 	err = set.UnmarshalBinary(data)
 	return set, err
 }
-
-func zip(value any) ([]byte, error) {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if err := json.NewEncoder(w).Encode(value); err != nil {
-		return nil, err
-	}
-	err := w.Close()
-	return b.Bytes(), err
-}
-
-func unzip(data []byte, value any) error {
-	r, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	return json.NewDecoder(r).Decode(value)
-}
--- /dev/null
+++ b/core/amrexplain/explain_test.go
@@ -0,0 +1,171 @@
+package amrexplain_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrexplain"
+	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/core/amrreason"
+)
+
+// TestText prints the decisions of testdata/text as a caller reads them.
+func TestText(t *testing.T) {
+	datadriven.RunTest(t, "testdata/text", func(t *testing.T, d *datadriven.TestData) string {
+		var decision amrexplain.Decision
+		if err := json.Unmarshal([]byte(d.Input), &decision); err != nil {
+			return err.Error()
+		}
+		return decision.Text()
+	})
+}
+
+func refusal(id amrexplain.ID, at time.Time, team string, reason amrreason.Code) amrexplain.Decision {
+	return amrexplain.Decision{RequestID: id.String(), Team: team, At: at, Outcome: amrexplain.Refused, Reason: reason, Ran: amrreason.NotRun}
+}
+
+func TestID(t *testing.T) {
+	is := is.New(t)
+	id := amrexplain.NewIDs("router-1.a", "3fe2").Next(time.Unix(1e9, 0))
+	back, err := amrexplain.ParseID(id.String())
+	is.NoErr(err)
+	is.Equal(back, id)
+	for _, bad := range []string{"", "x", "a.b.c", "r.i.!.1", "r.i.1.-"} {
+		_, err := amrexplain.ParseID(bad)
+		is.True(errorx.IsOfType(err, amrexplain.BadID))
+	}
+}
+
+// TestFind looks for the decisions of a router that is gone.
+func TestFind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		platform := amrmemory.New()
+		ids := amrexplain.NewIDs("router-1", "a1")
+		dead := amrexplain.NewRecorder("router-1", "a1", platform, clock)
+		var kept []amrexplain.Decision
+		for i := range 300 {
+			d := refusal(ids.Next(clock.Now()), clock.Now().UTC(), fmt.Sprint("team-", i%3), amrreason.TeamLimit)
+			dead.Add(d)
+			kept = append(kept, d)
+			clock.Sleep(time.Second)
+		}
+		is.NoErr(dead.Flush(t.Context()))
+
+		other := amrexplain.NewRecorder("router-2", "b1", platform, clock)
+		for _, want := range kept {
+			found, err := other.Find(t.Context(), want.RequestID)
+			is.NoErr(err)
+			is.True(found.At.Equal(want.At))
+			is.Equal(found.Team, want.Team)
+		}
+		_, err := other.Find(t.Context(), ids.Next(clock.Now()).String())
+		is.True(errorx.IsOfType(err, amrexplain.NotFound))
+	})
+}
+
+func TestWhyNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		platform := amrmemory.New()
+		ids := amrexplain.NewIDs("router-1", "a1")
+		dead := amrexplain.NewRecorder("router-1", "a1", platform, clock)
+		began := clock.Now()
+		for i := range 60 {
+			reason := amrreason.TeamLimit
+			if i%2 == 0 {
+				reason = amrreason.Overloaded
+			}
+			dead.Add(refusal(ids.Next(clock.Now()), clock.Now().UTC(), fmt.Sprint("team-", i%3), reason))
+			clock.Sleep(10 * time.Second)
+		}
+		is.NoErr(dead.Flush(t.Context()))
+		other := amrexplain.NewRecorder("router-2", "b1", platform, clock)
+
+		query := amrexplain.Query{Team: "team-0", Reason: amrreason.TeamLimit, Since: began, Until: clock.Now()}
+		all, err := other.WhyNot(t.Context(), query)
+		is.NoErr(err)
+		is.Equal(len(all.Decisions), 10)
+		is.True(all.Complete)
+		is.True(all.Decisions[0].At.After(all.Decisions[9].At))
+
+		query.Until = began.Add(5 * time.Minute)
+		half, err := other.WhyNot(t.Context(), query)
+		is.NoErr(err)
+		is.Equal(len(half.Decisions), 5)
+		query.Limit = 2
+		few, err := other.WhyNot(t.Context(), query)
+		is.NoErr(err)
+		is.Equal(len(few.Decisions), 2)
+		is.True(!few.Complete)
+	})
+}
+
+// TestOutage keeps the newest decisions while the object store is down.
+func TestOutage(t *testing.T) {
+	const (
+		outage = time.Hour
+		rate   = 30 // Requests per second.
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		platform := amrmemory.New(amrmemory.WithRates(0, 0))
+		platform.SetFaults(amrmemory.Faults{Down: true})
+		recorder := amrexplain.NewRecorder("router-1", "a1", platform, clock)
+		ids := amrexplain.NewIDs("router-1", "a1")
+		var first, last string
+		for range int(outage.Seconds()) {
+			for range rate {
+				last = ids.Next(clock.Now()).String()
+				if first == "" {
+					first = last
+				}
+				recorder.Add(amrexplain.Decision{RequestID: last, Outcome: amrexplain.Answered})
+			}
+			clock.Sleep(time.Second)
+		}
+		is.True(recorder.Flush(t.Context()) != nil)
+		is.Equal(recorder.Dropped()+uint64(recorder.Pending()), uint64(rate*outage.Seconds()))
+
+		platform.SetFaults(amrmemory.Faults{})
+		is.NoErr(recorder.Flush(t.Context()))
+		is.Equal(recorder.Pending(), 0)
+		other := amrexplain.NewRecorder("router-2", "b1", platform, clock)
+		_, err := other.Find(t.Context(), last)
+		is.NoErr(err)
+		_, err = other.Find(t.Context(), first)
+		is.True(errorx.IsOfType(err, amrexplain.NotFound))
+	})
+}
+
+func TestExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		platform := amrmemory.New()
+		recorder := amrexplain.NewRecorder("router-1", "a1", platform, clock)
+		ids := amrexplain.NewIDs("router-1", "a1")
+		recorder.Add(refusal(ids.Next(clock.Now()), clock.Now(), "a", amrreason.TeamLimit))
+		is.NoErr(recorder.Flush(t.Context()))
+		clock.Sleep(amrexplain.Retention + time.Hour)
+		recorder.Add(refusal(ids.Next(clock.Now()), clock.Now(), "a", amrreason.TeamLimit))
+		is.NoErr(recorder.Flush(t.Context()))
+		is.NoErr(recorder.Expire(t.Context()))
+		for _, prefix := range []string{"explain/", "refused/"} {
+			keys, err := platform.ListObjects(t.Context(), prefix, "", 10)
+			is.NoErr(err)
+			is.Equal(len(keys), 1)
+		}
+	})
+}
--- /dev/null
+++ b/core/amrexplain/find.go
@@ -0,0 +1,138 @@
+package amrexplain
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"amaranthreach.example/core/amrpack"
+	"amaranthreach.example/core/amrreason"
+)
+
+const (
+	findLimit   = 100  // Objects read for one request.
+	searchLimit = 1000 // Objects read for one search.
+)
+
+// Find returns the decision on the request: from memory, or from the object
+// store, whichever router wrote it there.
+func (r *Recorder) Find(ctx context.Context, request string) (Decision, error) {
+	if d, ok := r.Get(request); ok {
+		return d, nil
+	}
+	id, err := ParseID(request)
+	if err != nil {
+		return Decision{}, err
+	}
+	keys, err := r.objects.ListObjects(ctx, id.prefix(), "", findLimit)
+	if err != nil {
+		return Decision{}, err
+	}
+	for _, key := range keys {
+		decisions, err := r.read(ctx, key)
+		if err != nil {
+			return Decision{}, err
+		}
+		for _, d := range decisions {
+			if d.RequestID == request {
+				return d, nil
+			}
+		}
+	}
+	return Decision{}, NotFound.New("no decision is kept for request %s; check the id, or ask again in %s when it is new", request, flushInterval)
+}
+
+// Query chooses refusals. Empty fields choose all.
+type Query struct {
+	Team       string
+	Deployment string
+	Reason     amrreason.Code
+	Since      time.Time
+	Until      time.Time
+	Limit      int
+}
+
+func (q Query) matches(d Decision) bool {
+	return d.Outcome == Refused &&
+		(q.Team == "" || q.Team == d.Team) &&
+		(q.Deployment == "" || q.Deployment == d.Deployment) &&
+		(q.Reason == "" || q.Reason == d.Reason) &&
+		!d.At.Before(q.Since) && !d.At.After(q.Until)
+}
+
+// Refusals are the refusals that a query chose, the newest first.
+type Refusals struct {
+	Decisions []Decision
+	Complete  bool // False when there may be more than were looked at.
+}
+
+// WhyNot returns refusals of all routers: those of this router in memory, and
+// those in the object store.
+func (r *Recorder) WhyNot(ctx context.Context, q Query) (Refusals, error) {
+	found := map[string]Decision{}
+	r.mu.Lock()
+	r.spool.newest(func(d Decision) bool {
+		if q.matches(d) {
+			found[d.RequestID] = d
+		}
+		return true
+	})
+	r.mu.Unlock()
+	complete, err := r.searchObjects(ctx, q, found)
+	if err != nil {
+		return Refusals{}, err
+	}
+	all := make([]Decision, 0, len(found))
+	for _, d := range found {
+		all = append(all, d)
+	}
+	slices.SortFunc(all, func(a, b Decision) int {
+		if order := b.At.Compare(a.At); order != 0 {
+			return order
+		}
+		return strings.Compare(a.RequestID, b.RequestID)
+	})
+	if q.Limit > 0 && len(all) > q.Limit {
+		all, complete = all[:q.Limit], false
+	}
+	return Refusals{Decisions: all, Complete: complete}, nil
+}
+
+// searchObjects adds what the query chooses from the object store, and reports
+// whether it looked at all of it. It begins with the newest minute.
+func (r *Recorder) searchObjects(ctx context.Context, q Query, found map[string]Decision) (bool, error) {
+	objects := 0
+	for minute := q.Until.Unix() / 60; minute >= q.Since.Unix()/60; minute-- {
+		if objects >= searchLimit || q.Limit > 0 && len(found) >= q.Limit {
+			return false, nil
+		}
+		keys, err := r.objects.ListObjects(ctx, minutePrefix(refusalPrefix, minute), "", searchLimit)
+		if err != nil {
+			return false, err
+		}
+		for _, key := range keys {
+			decisions, err := r.read(ctx, key)
+			if err != nil {
+				return false, err
+			}
+			for _, d := range decisions {
+				if q.matches(d) {
+					found[d.RequestID] = d
+				}
+			}
+		}
+		objects += len(keys) + 1
+	}
+	return true, nil
+}
+
+func (r *Recorder) read(ctx context.Context, key string) ([]Decision, error) {
+	data, err := r.objects.GetObject(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	var decisions []Decision
+	err = amrpack.Unmarshal(data, &decisions)
+	return decisions, err
+}
--- a/core/amrrecord/codec.go
+++ b/core/amrrecord/codec.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 
 	"go.yaml.in/yaml/v3"
+
+	"amaranthreach.example/core/amrpack"
 )
 
 // Marshal returns the record as a YAML document that Parse reads.
@@ -85,31 +85,15 @@
 
 // MarshalBinary implements encoding.BinaryMarshaler for snapshots.
 func (s Set) MarshalBinary() ([]byte, error) {
-	var b bytes.Buffer
-	zip := gzip.NewWriter(&b)
-	if err := json.NewEncoder(zip).Encode(jsonSet{s.Revision(), s.Variants()}); err != nil {
-		return nil, err
-	}
-	if err := zip.Close(); err != nil {
-		return nil, err
-	}
-	return b.Bytes(), nil
+	return amrpack.Marshal(jsonSet{s.Revision(), s.Variants()})
 }
 
 // UnmarshalBinary implements encoding.BinaryUnmarshaler. It keeps the
 // availability zone of the set.
 func (s *Set) UnmarshalBinary(data []byte) error {
-	zip, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return Invalid.Wrap(err, "snapshot is not readable; take one from another process")
-	}
-	text, err := io.ReadAll(zip)
-	if err != nil {
-		return Invalid.Wrap(err, "snapshot is cut short; take one from another process")
-	}
 	var all jsonSet
-	if err := json.Unmarshal(text, &all); err != nil {
-		return err
+	if err := amrpack.Unmarshal(data, &all); err != nil {
+		return Invalid.Wrap(err, "snapshot is not readable; take one from another process")
 	}
 	*s = Set{zone: s.zone}.With(all.Records...).WithRevision(all.Revision)
 	return nil
