--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -18,6 +18,7 @@
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrrecord"
 	"amaranthreach.example/core/amrserve"
+	"amaranthreach.example/core/amrsettings"
 	"amaranthreach.example/router/amrrouter"
 	"amaranthreach.example/sidecar/amrsidecar"
 	"amaranthreach.example/standin/amrengine"
@@ -55,6 +56,8 @@
 	PlatformOptions   []amrmemory.Option
 	Log               *slog.Logger
 	StopGrace         time.Duration
+	GateTLS           amrsettings.TLS // Of routers and sidecars alike.
+	CallersTLS        amrsettings.TLS
 }
 
 // DefaultConfig is the fleet of the demonstration.
@@ -111,7 +114,12 @@
 }
 
 // CallersURL returns the URL of the callers' interface.
-func (r *RouterProcess) CallersURL() string { return "http://" + r.callers }
+func (r *RouterProcess) CallersURL() string {
+	if r.settings.CallersTLS.Enabled() {
+		return "https://" + r.callers
+	}
+	return "http://" + r.callers
+}
 
 // OperatorsURL returns the URL of the operators' interface.
 func (r *RouterProcess) OperatorsURL() string { return "http://" + r.operators }
@@ -302,6 +310,7 @@
 	settings.BackendURL = s.url
 	settings.PlatformURL = f.platformURL
 	settings.StopGrace = f.Config.StopGrace
+	settings.GateTLS = f.Config.GateTLS
 	if s.Service != nil {
 		settings.BackendType = amrsidecar.BackendService
 	}
@@ -321,6 +330,8 @@
 	settings.PlatformURL = f.platformURL
 	settings.StopGrace = f.Config.StopGrace
 	settings.BodyBytes = largeBodyBytes
+	settings.GateTLS = f.Config.GateTLS
+	settings.CallersTLS = f.Config.CallersTLS
 	r := &RouterProcess{settings: settings, callers: anyPort, operators: anyPort}
 	f.Routers = append(f.Routers, r)
 	return f.StartRouter(r)
