--- a/core/amrsettings/settings.go
+++ b/core/amrsettings/settings.go
@@ -61,7 +61,7 @@
 		return Invalid.New("%s:1: the file is empty; write the settings that the reference lists", file)
 	}
 	if err != nil {
-		return invalidYAML(file, err)
+		return invalidYAML(file, err, Keys(settings))
 	}
 	var extra yaml.Node
 	if err := decoder.Decode(&extra); !errors.Is(err, io.EOF) {
@@ -75,7 +75,7 @@
 
 var yamlLine = regexp.MustCompile(`line (\d+): (.*)`)
 
-func invalidYAML(file string, err error) error {
+func invalidYAML(file string, err error, keys []string) error {
 	match := yamlLine.FindStringSubmatch(strings.ReplaceAll(err.Error(), "\n", " "))
 	if match == nil {
 		return Invalid.New("%s:1: %v; write it as YAML", file, err)
@@ -83,14 +83,39 @@
 	what, remedy := match[2], "correct the value"
 	if strings.Contains(what, "not found in type") {
 		what, _, _ = strings.Cut(what, " not found in type")
-		what = "unknown key " + strings.TrimPrefix(what, "field ")
-		remedy = "remove it or correct its spelling"
+		key := strings.TrimPrefix(what, "field ")
+		what = "unknown key " + key
+		remedy = "remove it or correct its spelling" + suggestion(key, keys)
 	} else if strings.Contains(what, "time.Duration") {
 		remedy = "write a number with a unit, such as 500ms or 10s"
 	}
 	return Invalid.New("%s:%s: %s; %s", file, match[1], what, remedy)
 }
 
+// suggestion names the key that shares the longest prefix with the unknown
+// one, if it shares half of it.
+func suggestion(unknown string, keys []string) string {
+	best, length := "", len(unknown)/2
+	for _, key := range keys {
+		name := key[strings.LastIndex(key, ".")+1:]
+		if n := commonPrefix(name, unknown); n > length {
+			best, length = name, n
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return " to " + best
+}
+
+func commonPrefix(a, b string) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
 func invalidField(file string, data []byte, err error) error {
 	var problem *Problem
 	if !errors.As(err, &problem) {
