Add the placer of the router

Cause: the thin chooser knows neither caches nor waits. Change: core/amrplace ranks backend servers by expected wait and tokens to compute, weighted by the routing policy; from weighted rendezvous hashing of block keys, learned holders and aged load; round-robin, least-loaded and prefix-hash in the same type, an oracle for replays.

--- /dev/null
+++ b/core/amrplace/baseline.go
@@ -0,0 +1,91 @@
+package amrplace
+
+import (
+	"slices"
+	"time"
+
+	"amaranthreach.example/core/amrprompt"
+)
+
+// placeInTurn ranks by position, starting one further with each request.
+func (p *Placer) placeInTurn(now time.Time, r Request) {
+	start := p.next
+	p.next = (p.next + 1) % len(p.servers)
+	for i := range p.servers {
+		p.append(now, r, p.servers[(start+i)%len(p.servers)])
+		if len(p.ranked) == maxCandidates {
+			return
+		}
+	}
+}
+
+// placeByLoad ranks by expected wait, and by requests where it is the same.
+func (p *Placer) placeByLoad(now time.Time, r Request) {
+	p.addByLoad()
+	for _, s := range p.scratch {
+		p.append(now, r, s)
+	}
+	p.random.Shuffle(len(p.ranked), func(i, j int) {
+		p.ranked[i], p.ranked[j] = p.ranked[j], p.ranked[i]
+	})
+	for i := range p.ranked {
+		c := &p.ranked[i]
+		s := p.byName[c.Name]
+		c.Cost = c.Wait + time.Duration(s.requests+s.inFlight)*time.Millisecond
+	}
+	p.sortByCost()
+}
+
+// placeByHash ranks by the hash of the prompt's first block.
+func (p *Placer) placeByHash(now time.Time, r Request) {
+	var key amrprompt.Key
+	if len(r.Keys) > 0 {
+		key = r.Keys[0]
+	}
+	first, second := p.view.top(key)
+	for _, i := range []int{first, second} {
+		if i >= 0 {
+			p.append(now, r, p.servers[i])
+		}
+	}
+	if len(p.ranked) == 0 {
+		p.placeInTurn(now, r)
+	}
+}
+
+// placeByOracle ranks all backend servers by their true cost.
+func (p *Placer) placeByOracle(now time.Time, r Request) {
+	for _, s := range p.servers {
+		if slices.Contains(r.Excluded, s.name) {
+			continue
+		}
+		wait, blocks := p.oracle.State(s.name, r.Keys)
+		cached := min(blocks*amrprompt.TokensPerBlock, r.PromptTokens)
+		c := Candidate{
+			Name:           s.name,
+			Source:         SourceOracle,
+			Wait:           wait + s.compute(s.pending),
+			CachedTokens:   cached,
+			UncachedTokens: r.PromptTokens - cached,
+		}
+		c.Cost = p.cost(r.Policy, s, c)
+		p.ranked = append(p.ranked, c)
+	}
+	p.random.Shuffle(len(p.ranked), func(i, j int) {
+		p.ranked[i], p.ranked[j] = p.ranked[j], p.ranked[i]
+	})
+	p.sortByCost()
+}
+
+// append adds a candidate whose cache is not looked at.
+func (p *Placer) append(now time.Time, r Request, s *server) {
+	if slices.Contains(r.Excluded, s.name) {
+		return
+	}
+	p.ranked = append(p.ranked, Candidate{
+		Name:           s.name,
+		Source:         SourcePolicy,
+		Wait:           p.expectedWait(now, s),
+		UncachedTokens: r.PromptTokens,
+	})
+}
