--- a/standin/amrreplay/replay.go
+++ b/standin/amrreplay/replay.go
@@ -123,11 +123,15 @@
 		opt(&s)
 	}
 	if s.cacheBlocks <= 0 {
-		s.cacheBlocks = max(1, amrtrace.DistinctBlocks(requests)/cacheShare/s.engines)
+		s.cacheBlocks = defaultCacheBlocks(requests, s.engines)
 	}
 	return &Replay{requests: requests, settings: s}
 }
 
+func defaultCacheBlocks(requests []amrtrace.Request, engines int) int {
+	return max(1, amrtrace.DistinctBlocks(requests)/cacheShare/engines)
+}
+
 // Run plays the trace under a policy.
 func (r *Replay) Run(ctx context.Context, policy string) (Result, error) {
 	if policy == PolicyIdeal {
