Take non-idempotent requests through the ledger

Before: an Idempotency-Key was required and otherwise ignored.

A router claims before it dispatches and the run goes on when the caller is gone; a graceful stop waits for it. The sidecar runs a claim once, keeps its answer, and answers seals. The window of a claim ends on the sidecar's clock. A plain service whose answer is lost reports engine-lost, unknown.

--- a/core/amrledger/execution.go
+++ b/core/amrledger/execution.go
@@ -107,7 +107,7 @@
 	case NotRun:
 		return e.notRun(ev)
 	case Broken:
-		e.refusal = Refused{Reason: ev.Reason, Ran: amrreason.Unknown, Detail: "the answer was lost while the request ran"}
+		e.refusal = Refused{Reason: amrreason.OutcomeUnknown, Ran: amrreason.Unknown, Detail: "the answer was lost while the request ran: " + string(ev.Reason)}
 		e.goal, e.subject = goalGiveUp, e.dispatched
 		return e, ReadRow{}
 	case ConnectionLost:
--- a/router/amrrouter/request.go
+++ b/router/amrrouter/request.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"path"
+	"strconv"
 	"strings"
 	"time"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrledger"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrrecord"
@@ -141,9 +144,18 @@
 	return false
 }
 
-func nonIdempotent(deployment amrrecord.Deployment, path string) bool {
+// digest identifies the content of the request under its idempotency key.
+func (q *request) digest() string {
+	if q.call != nil {
+		return amrledger.Digest(q.deployment, q.call.GetMethod(), q.call.GetPath(), q.call.GetContentType(), string(q.call.GetBody()))
+	}
+	return amrledger.Digest(q.deployment, q.prompt, strconv.Itoa(q.maxTokens))
+}
+
+func nonIdempotent(deployment amrrecord.Deployment, called string) bool {
+	cleaned := path.Clean("/" + called)
 	for _, prefix := range deployment.NonIdempotent {
-		if strings.HasPrefix(path, strings.TrimPrefix(prefix, "/")) {
+		if strings.HasPrefix(cleaned, path.Clean("/"+prefix)) {
 			return true
 		}
 	}
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -22,6 +22,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthreach.example/core/amrconfig"
+	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrledger"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrserve"
 	"amaranthreach.example/router/gen/callers"
@@ -45,6 +47,9 @@
 	gates       *gates
 	chooser     *chooser
 	decisions   *decisions
+	sidecars    *sidecars
+	ledger      *amrledger.Ledger
+	runs        errgroup.Group // Non-idempotent requests in progress.
 
 	mu       sync.Mutex
 	draining bool
@@ -101,9 +106,11 @@
 	r.gates = newGates(config)
 	r.chooser = newChooser()
 	r.decisions = newDecisions()
+	r.sidecars = newSidecars()
 	r.platform = amrplatform.NewClient(settings.PlatformURL)
 	store := amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
 	r.follower = amrconfig.NewFollower(store)
+	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
 	return r, nil
 }
 
@@ -128,10 +135,11 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return ignoreCanceled(r.follower.Run(background)) })
+	group.Go(func() error { return r.ledger.Maintain(background) })
 	group.Go(func() error { return r.serveOperators(background) })
 	group.Go(func() error {
 		defer stop()
-		return r.serveCallers(ctx, background)
+		return errors.Join(r.serveCallers(ctx, background), r.runs.Wait())
 	})
 	r.log.Info("router-started", "incarnation", r.incarnation, "callers", r.listeners.Callers.Addr().String())
 	err := group.Wait()
@@ -160,6 +168,12 @@
 	return !r.draining && r.follower.Current().Revision() > 0
 }
 
+// observe notes what a sidecar said of itself.
+func (r *Router) observe(name string, load *amrgate.Load) {
+	r.chooser.observe(name, load)
+	r.sidecars.observe(name, load, r.clock.Now())
+}
+
 func (r *Router) listen() error {
 	var err error
 	if r.listeners.Callers == nil {
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -25,6 +25,7 @@
 	current    *dispatch
 	text       []byte // Relayed so far, for an attempt that resumes.
 	tokens     int
+	once       *once // Nil for idempotent work.
 }
 
 // dispatch is an attempt in progress.
@@ -45,16 +46,27 @@
 
 func (r *Router) newSession(q *request) *session {
 	ranked := r.chooser.rank(q.set, q.deployment, q.keys)
-	return &session{
+	s := &session{
 		router:     r,
 		request:    q,
 		decision:   r.decisions.begin(q, ranked, r.clock.Now()),
 		candidates: ranked,
 	}
+	if !q.idempotent {
+		s.once = &once{session: s}
+	}
+	return s
 }
 
 // next returns the next piece of the answer, its end, or the refusal.
 func (s *session) next(ctx context.Context) (answerEvent, *refusal) {
+	if s.once != nil {
+		event, refused := s.once.next(ctx)
+		if refused != nil {
+			return answerEvent{}, s.give(refused)
+		}
+		return event, nil
+	}
 	for {
 		if s.current == nil {
 			if refused := s.start(ctx); refused != nil {
@@ -93,6 +105,12 @@
 	return defaultMaxAttempts
 }
 
+// server returns the backend server of the name, if the records have it.
+func (s *session) server(name string) (candidate, bool) {
+	server, ok := s.request.set.BackendServer(name)
+	return candidate{name: name, address: server.Address}, ok
+}
+
 // start dispatches the next attempt.
 func (s *session) start(ctx context.Context) *refusal {
 	left := s.request.deadline.Sub(s.router.clock.Now())
@@ -167,7 +185,7 @@
 	if err != nil {
 		return answerEvent{}, true, s.broken(ctx, err)
 	}
-	s.router.chooser.observe(d.server.name, reply.GetLoad())
+	s.router.observe(d.server.name, reply.GetLoad())
 	switch event := reply.GetEvent().(type) {
 	case *amrgate.DispatchReply_Accepted:
 		s.decision.accepted(d.server.name, event.Accepted)
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -21,6 +21,7 @@
 	backend   backend
 	admission *admission
 	metrics   *metrics
+	claims    *claims
 
 	mu       sync.Mutex
 	draining bool
@@ -34,6 +35,7 @@
 		sidecar:   s,
 		admission: newAdmission(),
 		metrics:   newMetrics(s.registry),
+		claims:    newClaims(s.incarnation, s.clock),
 		idleCh:    make(chan struct{}),
 	}
 	switch s.settings.BackendType {
@@ -52,7 +54,19 @@
 		return attempt.decline(reason, 0, 0)
 	}
 	defer g.leave()
-	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(request.GetDeadlineMs())*time.Millisecond)
+	ctx := stream.Context()
+	if claim := request.GetClaim(); claim != nil {
+		ok, reason, ran := g.claims.begin(claim)
+		switch {
+		case !ok && ran == amrreason.NotRun:
+			return attempt.decline(reason, 0, 0)
+		case !ok:
+			return attempt.fail(failure{reason: reason, ran: ran})
+		}
+		attempt.claim = &claimRun{claims: g.claims, token: string(claim.GetToken())}
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetDeadlineMs())*time.Millisecond)
 	defer cancel()
 	return attempt.run(ctx)
 }
@@ -73,6 +87,7 @@
 	state := g.backend.state()
 	load := g.admission.load()
 	load.SidecarIncarnation = g.sidecar.incarnation
+	load.ClockMs = g.claims.now().Milliseconds()
 	load.EngineIncarnation = state.incarnation
 	load.BatchLimit = uint32(state.batchLimit)
 	load.PrefillTokensPerSecond = uint32(state.prefillRate)
@@ -155,6 +170,7 @@
 	digest   *xxh3.Hasher
 	sequence uint64
 	reported time.Time
+	claim    *claimRun // Nil for idempotent work.
 }
 
 func newAttempt(g *gate, request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) *attempt {
@@ -192,6 +208,9 @@
 }
 
 func (a *attempt) chunk(p piece) error {
+	if a.claim != nil {
+		a.claim.add(p)
+	}
 	a.sequence++
 	_, _ = a.digest.WriteString(p.text)
 	_, _ = a.digest.Write(p.body)
@@ -211,6 +230,9 @@
 }
 
 func (a *attempt) end(end result) error {
+	if a.claim != nil {
+		a.claim.finished(end)
+	}
 	a.gate.metrics.attempts.WithLabelValues("finished", "").Inc()
 	return a.send(&amrgate.DispatchReply{
 		Event: &amrgate.DispatchReply_End{End: &amrgate.End{
@@ -229,6 +251,9 @@
 }
 
 func (a *attempt) decline(reason amrreason.Code, wait time.Duration, cachedTokens int) error {
+	if a.claim != nil {
+		a.claim.failed(amrreason.NotRun)
+	}
 	a.gate.metrics.attempts.WithLabelValues("declined", string(reason)).Inc()
 	return a.send(&amrgate.DispatchReply{
 		Event: &amrgate.DispatchReply_Declined{Declined: &amrgate.Declined{
@@ -242,6 +267,9 @@
 }
 
 func (a *attempt) fail(f failure) error {
+	if a.claim != nil {
+		a.claim.failed(f.ran)
+	}
 	a.gate.metrics.attempts.WithLabelValues("failed", string(f.reason)).Inc()
 	return a.send(&amrgate.DispatchReply{
 		Event: &amrgate.DispatchReply_Failed{Failed: &amrgate.Failed{
@@ -254,8 +282,13 @@
 	})
 }
 
+// send sends a reply. A claim goes on when its router is gone.
 func (a *attempt) send(reply *amrgate.DispatchReply) error {
-	return a.stream.Send(reply)
+	err := a.stream.Send(reply)
+	if a.claim != nil {
+		return nil
+	}
+	return err
 }
 
 // failureOf says how an attempt ended that the backend server did not finish.
--- a/sidecar/amrsidecar/service.go
+++ b/sidecar/amrsidecar/service.go
@@ -72,7 +72,7 @@
 	if isDialError(err) {
 		return failure{reason: amrreason.EngineUnavailable, ran: amrreason.NotRun}
 	}
-	return failure{reason: amrreason.OutcomeUnknown, ran: amrreason.Unknown}
+	return failure{reason: amrreason.EngineLost, ran: amrreason.Unknown}
 }
 
 func relayBody(body io.Reader, relay func(piece) error) error {
@@ -94,7 +94,7 @@
 			return nil
 		}
 		if err != nil {
-			return failure{reason: amrreason.OutcomeUnknown, ran: amrreason.DidRun}
+			return failure{reason: amrreason.EngineLost, ran: amrreason.DidRun}
 		}
 	}
 }
