--- a/core/amradmit/admit.go
+++ b/core/amradmit/admit.go
@@ -87,11 +87,15 @@
 		q.since = now
 	}
 	e.uncached = e.PromptTokens - q.tokens(e.Request, q.index.ExpectedDepth(e.Keys))
+	q.running++
+	q.fair.started(e)
+	if e.PromptTokens == 0 {
+		e.state, e.ran = stateRunning, now
+		return
+	}
 	q.index.Expect(e.Keys)
 	e.state = stateHanded
 	q.handed = append(q.handed, e)
-	q.running++
-	q.fair.started(e)
 }
 
 func (q *Queue) mayRun(e *entry) bool {
@@ -101,7 +105,7 @@
 	if e.Isolated || q.isolated() {
 		return false
 	}
-	return len(q.handed) < q.handedPrompts && q.running < q.batchLimit
+	return (e.PromptTokens == 0 || len(q.handed) < q.handedPrompts) && q.running < q.batchLimit
 }
 
 // isolated reports whether the request at the engine has it for itself.
@@ -219,11 +223,25 @@
 		q.rate.nominate(s.PrefillRate)
 	}
 	q.stopped = s.Away
+	if q.stopped {
+		return q.dismiss()
+	}
 	return q.hand(now, nil)
 }
 
-// engineLost forgets what the engine had. What still waits may run on its
-// successor once EngineState says that it takes work.
+// dismiss ends all waiting requests, so that they can run elsewhere.
+func (q *Queue) dismiss() []Action {
+	actions := make([]Action, 0, len(q.waiting))
+	for _, e := range q.waiting {
+		delete(q.requests, e.ID)
+		actions = append(actions, Expire{ID: e.ID, Reason: amrreason.EngineUnavailable})
+	}
+	clear(q.waiting)
+	q.waiting = q.waiting[:0]
+	return actions
+}
+
+// engineLost forgets what the engine had and dismisses what waits.
 func (q *Queue) engineLost() []Action {
 	for id, e := range q.requests {
 		if e.state == stateWaiting {
@@ -237,7 +255,7 @@
 	q.handed = q.handed[:0]
 	q.running = 0
 	q.stopped = true
-	return nil
+	return q.dismiss()
 }
 
 // queuedDepth returns how many leading blocks the request shares with one of
--- a/core/amrcache/index_test.go
+++ b/core/amrcache/index_test.go
@@ -82,6 +82,26 @@
 	return all
 }
 
+func TestJournal(t *testing.T) {
+	is := is.New(t)
+	var j Journal
+	j.Add("router-1", blocks("ab"))
+	j.Add("router-2", blocks("c"))
+	is.Equal(j.Read("router-1", 5), []uint64{'c'})
+	is.Equal(j.Read("router-2", 1), []uint64{'a'})
+	is.Equal(j.Read("router-2", 5), []uint64{'b'})
+	is.Equal(len(j.Read("router-2", 5)), 0)
+	for i := range 2 * journalBlocks {
+		j.Add("router-1", numbered(i, 1))
+	}
+	is.Equal(len(j.Read("router-1", 5)), 0)
+	is.Equal(len(j.Read("router-2", 2*journalBlocks)), journalBlocks)
+	for i := range 2 * journalReaders {
+		j.Read(fmt.Sprint(i), 1)
+	}
+	is.Equal(len(j.readers), journalReaders)
+}
+
 // TestFullSizeMemory holds the index to 64 bytes a block at the capacity of a
 // full-size engine, which is 6 MB of the 256 MB that a process may take.
 func TestFullSizeMemory(t *testing.T) {
