Let faults of one process come one after the other, and stops wait in a replay

A router that was killed while it still restarted could not take its address again and ended the replay; a planned stop was given 2 s, less than a queue can be long, and cut requests.

--- a/standin/amrreplay/inject.go
+++ b/standin/amrreplay/inject.go
@@ -80,14 +80,10 @@
 	switch {
 	case strings.HasPrefix(f.Target, routerName):
 		r := p.router(f.Target)
-		end(r.Process, f.Kind)
-		p.wait(ctx, down)
-		return p.fleet.StartRouter(r)
+		return p.bounce(f.Target, func() { end(r.Process, f.Kind); p.wait(ctx, down) }, func() error { return p.fleet.StartRouter(r) })
 	case strings.HasPrefix(f.Target, sidecarName):
 		s := p.server(engineName + strings.TrimPrefix(f.Target, sidecarName))
-		end(s.Sidecar, f.Kind)
-		p.wait(ctx, down)
-		return p.fleet.StartSidecar(s)
+		return p.bounce(s.Name, func() { end(s.Sidecar, f.Kind); p.wait(ctx, down) }, func() error { return p.fleet.StartSidecar(s) })
 	case f.Kind == FaultRestart:
 		p.server(f.Target).Engine.Restart()
 	default:
@@ -96,6 +92,15 @@
 	return nil
 }
 
+// bounce stops a process and starts it again, after its earlier faults.
+func (p *play) bounce(name string, stop func(), start func() error) error {
+	lock := p.failing[name]
+	lock.Lock()
+	defer lock.Unlock()
+	stop()
+	return start()
+}
+
 func end(process *amrfleet.Process, kind FaultKind) {
 	if kind == FaultCrash {
 		process.Kill()
@@ -110,8 +115,8 @@
 		if target != "" && r.Name() != target {
 			continue
 		}
-		end(r.Process, FaultRestart)
-		if err := p.fleet.StartRouter(r); err != nil {
+		err := p.bounce(r.Name(), func() { end(r.Process, FaultRestart) }, func() error { return p.fleet.StartRouter(r) })
+		if err != nil {
 			return err
 		}
 	}
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,7 +23,6 @@
 	flushTokens      = 8
 	progressInterval = 5 * time.Second
 	deadline         = 10 * time.Minute // Of the trace.
-	stopGrace        = 2 * time.Second
 	routingPolicy    = "replayed"
 )
 
@@ -35,6 +35,7 @@
 	caller   *caller
 	begin    time.Time
 	calls    []call
+	failing  map[string]*sync.Mutex // By process: held while it fails, so that faults of one come one after the other.
 }
 
 // startPlay starts a fleet with the records that the trace needs.
@@ -45,6 +46,13 @@
 	if err != nil {
 		return nil, err
 	}
+	p.failing = make(map[string]*sync.Mutex)
+	for _, r := range p.fleet.Routers {
+		p.failing[r.Name()] = &sync.Mutex{}
+	}
+	for _, s := range p.fleet.Servers {
+		p.failing[s.Name] = &sync.Mutex{}
+	}
 	if err := p.fleet.Apply(ctx, p.records()...); err != nil {
 		p.stop()
 		return nil, err
@@ -60,7 +68,7 @@
 	c.Services = 0
 	c.TimeScale = p.settings.timeScale
 	c.Log = p.settings.log
-	c.StopGrace = stopGrace
+	c.StopGrace = p.settings.scaled(deadline) // A planned stop cuts no request.
 	c.EngineOptions = []amrengine.Option{
 		amrengine.WithCacheBlocks(p.settings.cacheBlocks),
 		amrengine.WithDirectory(amrengine.NewDirectory()),
