--- /dev/null
+++ b/amrctl/amrcommand/command_test.go
@@ -0,0 +1,130 @@
+package amrcommand_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/amrctl/amrcommand"
+	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/core/amrplatform"
+	"amaranthreach.example/router/amrrouter"
+)
+
+const operatorKey = "key-of-the-operators"
+
+// TestScripts runs each script of testdata against a router of its own. The
+// commands beside those of testscript are: "amrctl CODE ARGS..." runs the
+// command line and requires the exit code, "faults LOST" makes the table lose
+// the answers of coming writes, "tamper REVISION" edits an audit entry.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"amrctl": runCommand,
+			"faults": setFaults,
+			"tamper": tamper,
+		},
+	})
+}
+
+type platformKey struct{}
+
+// setup starts a router that has no records yet.
+func setup(env *testscript.Env) error {
+	platform := amrmemory.New()
+	listeners := amrrouter.Listeners{}
+	var err error
+	if listeners.Callers, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	if listeners.Operators, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	digest := sha256.Sum256([]byte(operatorKey))
+	settings := amrrouter.DefaultSettings()
+	settings.Name = "router-1"
+	settings.AvailabilityZone = "a"
+	settings.OperatorKeys = []string{hex.EncodeToString(digest[:])}
+	router, err := amrrouter.New(settings, amrrouter.WithPlatform(platform), amrrouter.WithListeners(listeners), amrrouter.WithLogger(slog.New(slog.DiscardHandler)))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return router.Run(ctx) })
+	env.Defer(func() {
+		stop()
+		_ = group.Wait() // The scripts judge the router.
+	})
+	env.Values[platformKey{}] = platform
+	env.Setenv("AMRCTL_SERVER", "http://"+listeners.Operators.Addr().String())
+	env.Setenv("AMRCTL_KEY", operatorKey)
+	env.Setenv("USER", "ana")
+	return nil
+}
+
+func runCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: amrctl CODE ARGS...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	files := make([]string, len(args)-1)
+	for i, arg := range args[1:] {
+		files[i] = arg
+		if i > 0 && args[i] == "-f" {
+			files[i] = ts.MkAbs(arg)
+		}
+	}
+	code := amrcommand.Run(context.Background(), files, amrcommand.Streams{Out: ts.Stdout(), Err: ts.Stderr(), Environ: ts.Getenv})
+	if code != want {
+		ts.Fatalf("exit code %d, want %d", code, want)
+	}
+}
+
+func setFaults(ts *testscript.TestScript, _ bool, args []string) {
+	lost, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	platformOf(ts).SetFaults(amrmemory.Faults{LoseNext: lost})
+}
+
+func tamper(ts *testscript.TestScript, _ bool, args []string) {
+	revision, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	key := fmt.Sprintf("config/log/%020d", revision)
+	platform := platformOf(ts)
+	item, err := platform.Get(context.Background(), key)
+	ts.Check(err)
+	value := append([]byte(" "), item.Value...)
+	for i := range value {
+		if string(value[i:min(i+3, len(value))]) == "ana" {
+			copy(value[i:], "rui")
+		}
+	}
+	ts.Check(platform.Commit(context.Background(), amrplatform.Txn{Puts: []amrplatform.Put{{Key: key, Value: value}}}))
+}
+
+func platformOf(ts *testscript.TestScript) *amrmemory.Platform {
+	platform, ok := ts.Value(platformKey{}).(*amrmemory.Platform)
+	if !ok {
+		ts.Fatalf("there is no platform")
+	}
+	return platform
+}
+
+func TestCodeOf(t *testing.T) {
+	is := is.New(t)
+	is.Equal(amrcommand.CodeOf(nil), amrcommand.CodeOK)
+	is.Equal(amrcommand.CodeOf(fmt.Errorf("broken")), amrcommand.CodeFailed)
+}
--- /dev/null
+++ b/amrctl/amrcommand/read.go
@@ -0,0 +1,242 @@
+package amrcommand
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/router/gen/operators"
+)
+
+func getCommand(o *options) *cobra.Command {
+	var revision uint64
+	var variants bool
+	c := &cobra.Command{
+		Use:               "get [KIND [NAME]]",
+		Short:             "Show records",
+		Args:              args(cobra.MaximumNArgs(2)),
+		ValidArgsFunction: completeKinds,
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			ctx, cancel, s, err := o.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			p := &operators.RecordsPayload{Key: s.key, Revision: revision, Variants: variants}
+			if len(arguments) > 0 {
+				p.Kind = &arguments[0]
+			}
+			if len(arguments) > 1 {
+				p.Name = &arguments[1]
+			}
+			held, err := s.Records(ctx, p)
+			if err != nil {
+				return err
+			}
+			return o.printRecords(held)
+		},
+	}
+	c.Flags().Uint64Var(&revision, "revision", 0, "revision to show; the newest when 0")
+	c.Flags().BoolVar(&variants, "variants", false, "also show older and newer versions that stand beside those in force")
+	return c
+}
+
+func completeKinds(_ *cobra.Command, arguments []string, _ string) ([]string, cobra.ShellCompDirective) {
+	var kinds []string
+	if len(arguments) == 0 {
+		for _, kind := range amrrecord.Kinds() {
+			kinds = append(kinds, string(kind))
+		}
+	}
+	return kinds, cobra.ShellCompDirectiveNoFileComp
+}
+
+type recordView struct {
+	Record        string `json:"record"`
+	SchemaVersion int    `json:"schema-version"`
+	Document      string `json:"document"`
+}
+
+// printRecords writes records. As YAML they can be applied again.
+func (o *options) printRecords(held *operators.HeldRecords) error {
+	views := make([]recordView, 0, len(held.Records))
+	documents := make([]string, 0, len(held.Records))
+	for _, r := range held.Records {
+		views = append(views, recordView{r.Record, r.SchemaVersion, r.Document})
+		documents = append(documents, r.Document)
+	}
+	if o.output == "yaml" {
+		_, err := io.WriteString(o.streams.Out, strings.Join(documents, "---\n"))
+		return err
+	}
+	return o.print(views, func(w io.Writer) {
+		fmt.Fprintln(w, "RECORD\tSCHEMA VERSION")
+		for _, v := range views {
+			fmt.Fprintf(w, "%s\t%d\n", v.Record, v.SchemaVersion)
+		}
+	})
+}
+
+func historyCommand(o *options) *cobra.Command {
+	var limit int
+	var before uint64
+	c := &cobra.Command{
+		Use:   "history [KIND/NAME]",
+		Short: "Show the newest changes, of all records or of one",
+		Args:  args(cobra.MaximumNArgs(1)),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			return o.history(cmd, arguments, before, limit)
+		},
+	}
+	c.Flags().IntVar(&limit, "limit", 20, "number of changes")
+	c.Flags().Uint64Var(&before, "before", 0, "only changes below the revision; the newest when 0")
+	return c
+}
+
+func auditCommand(o *options) *cobra.Command {
+	var limit int
+	var before uint64
+	c := &cobra.Command{
+		Use:   "audit",
+		Short: "Show who changed what, when, from where and why",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.history(cmd, nil, before, limit)
+		},
+	}
+	c.Flags().IntVar(&limit, "limit", 20, "number of entries")
+	c.Flags().Uint64Var(&before, "before", 0, "only entries below the revision; the newest when 0")
+	c.AddCommand(&cobra.Command{
+		Use:   "verify",
+		Short: "Check that no entry is missing or edited",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel, s, err := o.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			result, err := s.Verify(ctx, &operators.VerifyPayload{Key: s.key})
+			if err != nil {
+				return err
+			}
+			return o.print(verifyView{result.Entries}, func(w io.Writer) {
+				fmt.Fprintf(w, "%d entries, none missing or edited\n", result.Entries)
+			})
+		},
+	})
+	return c
+}
+
+type verifyView struct {
+	Entries int `json:"entries"`
+}
+
+type entryView struct {
+	Revision uint64       `json:"revision"`
+	When     string       `json:"when"`
+	Who      string       `json:"who"`
+	From     string       `json:"from"`
+	Reason   string       `json:"reason"`
+	Changes  []changeView `json:"changes"`
+	Digest   string       `json:"digest"`
+}
+
+func (o *options) history(cmd *cobra.Command, arguments []string, before uint64, limit int) error {
+	ctx, cancel, s, err := o.open(cmd.Context())
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	p := &operators.HistoryPayload{Key: s.key, Before: before, Limit: limit}
+	if len(arguments) > 0 {
+		p.Record = &arguments[0]
+	}
+	found, err := s.History(ctx, p)
+	if err != nil {
+		return err
+	}
+	views := make([]entryView, 0, len(found.Entries))
+	for _, e := range found.Entries {
+		views = append(views, entryView{e.Revision, e.When, e.Who, e.From, e.Reason, changeViews(e.Changes), e.Digest})
+	}
+	return o.print(views, func(w io.Writer) {
+		fmt.Fprintln(w, "REVISION\tWHEN\tWHO\tFROM\tCHANGED\tREASON")
+		for _, v := range views {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", v.Revision, v.When, v.Who, v.From, namesOf(v.Changes), v.Reason)
+		}
+	})
+}
+
+func namesOf(changes []changeView) string {
+	const shown = 3
+	var names []string
+	for i, c := range changes {
+		if i == shown {
+			names = append(names, fmt.Sprintf("and %d more", len(changes)-shown))
+			break
+		}
+		names = append(names, c.Record)
+	}
+	return strings.Join(names, ", ")
+}
+
+func explainCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID",
+		Short: "Tell why a request went where it did, or why it did not run",
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			ctx, cancel, s, err := o.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			e, err := s.Explain(ctx, &operators.ExplainPayload{Key: s.key, ID: arguments[0]})
+			if err != nil {
+				return err
+			}
+			return o.print(explanationOf(e), func(w io.Writer) { fmt.Fprint(w, e.Text) })
+		},
+	}
+}
+
+func whyNotCommand(o *options) *cobra.Command {
+	var team, deployment, reason string
+	var since, until time.Duration
+	var limit int
+	c := &cobra.Command{
+		Use:   "why-not",
+		Short: "Show refusals, by team, deployment, reason and time",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel, s, err := o.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			now := time.Now() //nolint:forbidigo // The flags count from the operator's clock.
+			from, to := now.Add(-since).Format(time.RFC3339), now.Add(-until).Format(time.RFC3339)
+			p := &operators.WhyNotPayload{Key: s.key, Team: &team, Deployment: &deployment, Reason: &reason, Since: &from, Limit: limit}
+			if until > 0 {
+				p.Until = &to
+			}
+			found, err := s.WhyNot(ctx, p)
+			if err != nil {
+				return err
+			}
+			return o.printRefusals(found)
+		},
+	}
+	c.Flags().StringVar(&team, "team", "", "team that was refused; all when empty")
+	c.Flags().StringVar(&deployment, "deployment", "", "deployment that was asked for; all when empty")
+	c.Flags().StringVar(&reason, "reason", "", "reason code; all when empty")
+	c.Flags().DurationVar(&since, "since", time.Hour, "how long ago the time begins")
+	c.Flags().DurationVar(&until, "until", 0, "how long ago the time ends")
+	c.Flags().IntVar(&limit, "limit", 20, "number of refusals")
+	return c
+}
--- /dev/null
+++ b/amrctl/amrcommand/view.go
@@ -0,0 +1,165 @@
+package amrcommand
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"amaranthreach.example/router/gen/operators"
+)
+
+type explanationView struct {
+	RequestID    string          `json:"request-id"`
+	Summary      string          `json:"summary"`
+	At           string          `json:"at"`
+	Team         string          `json:"team"`
+	Deployment   string          `json:"deployment"`
+	Policy       string          `json:"policy,omitempty"`
+	Revision     uint64          `json:"revision"`
+	Outcome      string          `json:"outcome"`
+	Reason       string          `json:"reason,omitempty"`
+	Ran          string          `json:"ran"`
+	Detail       string          `json:"detail,omitempty"`
+	PromptTokens uint32          `json:"prompt-tokens"`
+	CachedTokens uint32          `json:"cached-tokens"`
+	Candidates   []candidateView `json:"candidates,omitempty"`
+	Attempts     []attemptView   `json:"attempts,omitempty"`
+}
+
+type candidateView struct {
+	BackendServer string `json:"backend-server"`
+	Cost          string `json:"cost"`
+	Wait          string `json:"wait,omitempty"`
+	CachedTokens  uint32 `json:"cached-tokens"`
+}
+
+type attemptView struct {
+	BackendServer string `json:"backend-server"`
+	Result        string `json:"result"`
+	After         string `json:"after,omitempty"`
+	Reason        string `json:"reason,omitempty"`
+	Ran           string `json:"ran,omitempty"`
+}
+
+func explanationOf(e *operators.Explanation) explanationView {
+	view := explanationView{
+		RequestID:    e.RequestID,
+		Summary:      e.Summary,
+		At:           e.At,
+		Team:         e.Team,
+		Deployment:   e.Deployment,
+		Policy:       valueOf(e.Policy),
+		Revision:     e.Revision,
+		Outcome:      e.Outcome,
+		Reason:       e.Reason,
+		Ran:          e.Ran,
+		Detail:       valueOf(e.Detail),
+		PromptTokens: e.PromptTokens,
+		CachedTokens: e.CachedTokens,
+	}
+	for _, c := range e.Candidates {
+		view.Candidates = append(view.Candidates, candidateView{c.BackendServer, c.Cost, valueOf(c.Wait), valueOf(c.CachedTokens)})
+	}
+	for _, a := range e.Attempts {
+		view.Attempts = append(view.Attempts, attemptView{a.BackendServer, a.Result, valueOf(a.After), valueOf(a.Reason), valueOf(a.Ran)})
+	}
+	return view
+}
+
+func (o *options) printRefusals(found *operators.Refusals) error {
+	views := make([]explanationView, 0, len(found.Refusals))
+	for _, e := range found.Refusals {
+		views = append(views, explanationOf(e))
+	}
+	return o.print(views, func(w io.Writer) {
+		fmt.Fprintln(w, "WHEN\tTEAM\tDEPLOYMENT\tREASON\tRAN\tDETAIL\tREQUEST")
+		for _, v := range views {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", v.At, v.Team, v.Deployment, v.Reason, v.Ran, v.Detail, v.RequestID)
+		}
+		if !found.Complete {
+			fmt.Fprintln(w, "there may be more; narrow the time or raise --limit")
+		}
+	})
+}
+
+type statusView struct {
+	Revision       uint64              `json:"revision"`
+	Routers        []routerView        `json:"routers"`
+	BackendServers []backendServerView `json:"backend-servers"`
+	ExplainPending int                 `json:"explain-pending"`
+	ExplainDropped uint64              `json:"explain-dropped"`
+}
+
+type routerView struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availability-zone"`
+	Ready            bool   `json:"ready"`
+	Revision         uint64 `json:"revision"`
+	Age              string `json:"age,omitempty"`
+	Error            string `json:"error,omitempty"`
+}
+
+type backendServerView struct {
+	Name             string `json:"name"`
+	Deployment       string `json:"deployment"`
+	AvailabilityZone string `json:"availability-zone"`
+	State            string `json:"state"`
+	Running          uint32 `json:"running"`
+	Queued           uint32 `json:"queued"`
+	WeightsVersion   string `json:"weights-version,omitempty"`
+	Revision         uint64 `json:"revision"`
+}
+
+func statusCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show routers and backend servers, and how fresh their records are",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel, s, err := o.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			status, err := s.Status(ctx, &operators.StatusPayload{Key: s.key})
+			if err != nil {
+				return err
+			}
+			view := statusOf(status)
+			return o.print(view, view.table)
+		},
+	}
+}
+
+func statusOf(s *operators.FleetStatus) statusView {
+	view := statusView{Revision: s.Revision, ExplainPending: s.ExplainPending, ExplainDropped: s.ExplainDropped}
+	for _, r := range s.Routers {
+		view.Routers = append(view.Routers, routerView{r.Name, r.AvailabilityZone, r.Ready, r.Revision, valueOf(r.Age), valueOf(r.Error)})
+	}
+	for _, b := range s.BackendServers {
+		view.BackendServers = append(view.BackendServers, backendServerView{b.Name, b.Deployment, b.AvailabilityZone, b.State,
+			valueOf(b.Running), valueOf(b.Queued), valueOf(b.WeightsVersion), valueOf(b.Revision)})
+	}
+	return view
+}
+
+func (v statusView) table(w io.Writer) {
+	fmt.Fprintf(w, "revision %d; %d decisions not yet stored, %d dropped\n\n", v.Revision, v.ExplainPending, v.ExplainDropped)
+	fmt.Fprintln(w, "ROUTER\tZONE\tREADY\tREVISION\tAGE\tERROR")
+	for _, r := range v.Routers {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%s\t%s\n", r.Name, r.AvailabilityZone, r.Ready, r.Revision, r.Age, r.Error)
+	}
+	fmt.Fprintln(w, "\nBACKEND SERVER\tDEPLOYMENT\tZONE\tSTATE\tRUNNING\tQUEUED\tWEIGHTS\tREVISION")
+	for _, b := range v.BackendServers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%d\n", b.Name, b.Deployment, b.AvailabilityZone, b.State, b.Running, b.Queued, b.WeightsVersion, b.Revision)
+	}
+}
+
+func valueOf[T any](p *T) T {
+	if p == nil {
+		var zero T
+		return zero
+	}
+	return *p
+}
--- /dev/null
+++ b/amrctl/main.go
@@ -0,0 +1,18 @@
+// Command amrctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"amaranthreach.example/amrctl/amrcommand"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := amrcommand.Run(ctx, os.Args[1:], amrcommand.Streams{Out: os.Stdout, Err: os.Stderr, Environ: os.Getenv})
+	stop()
+	os.Exit(code)
+}
--- a/core/amraudit/entry.go
+++ b/core/amraudit/entry.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"time"
 )
 
@@ -69,3 +70,8 @@
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:]), nil
 }
+
+// Touches reports whether the entry changed the record of the kind and name.
+func (e Entry) Touches(record string) bool {
+	return slices.ContainsFunc(e.Changes, func(c Change) bool { return c.Record == record })
+}
--- a/core/amrconfig/history.go
+++ b/core/amrconfig/history.go
@@ -103,3 +103,39 @@
 	}
 	return nil
 }
+
+const (
+	historyStep  = 200   // Entries read at once on the way back.
+	historyLimit = 20000 // Entries looked at for one question.
+)
+
+// History returns at most limit entries below the revision before, or the
+// newest ones when it is 0, in the order of their revisions. With a record it
+// returns only the entries that changed it, of the last 20,000.
+func (s *Store) History(ctx context.Context, record string, before uint64, limit int) ([]amraudit.Entry, error) {
+	h, err := s.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	last := h.Revision
+	if before > 0 {
+		last = min(last, before-1)
+	}
+	var found []amraudit.Entry
+	for looked := 0; last > 0 && len(found) < limit && looked < historyLimit; looked += historyStep {
+		first := last - min(last, historyStep)
+		var step []amraudit.Entry
+		err := s.walk(ctx, first, last, func(entry amraudit.Entry) error {
+			if record == "" || entry.Touches(record) {
+				step = append(step, entry)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		found = append(step, found...)
+		last = first
+	}
+	return found[max(0, len(found)-limit):], nil
+}
--- a/router/amrrouter/body.go
+++ b/router/amrrouter/body.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrsse"
 )
 
@@ -101,9 +102,10 @@
 	return 0, io.EOF
 }
 
-// Close cancels what is still in progress.
+// Close cancels what is still in progress. A request that is not at its end
+// was given up by its caller.
 func (b *body) Close() error {
-	b.session.close()
+	_ = b.session.give(refuse(amrreason.Canceled, ""))
 	return nil
 }
 
--- a/router/amrrouter/callers.go
+++ b/router/amrrouter/callers.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -129,7 +128,7 @@
 }
 
 func (r *Router) newID() string {
-	return fmt.Sprintf("%s.%s.%d", r.settings.Name, r.incarnation, r.sequence.Add(1))
+	return r.ids.Next(r.clock.Now()).String()
 }
 
 // refused records a refusal and returns it as the callers' interface sends it.
@@ -189,6 +188,8 @@
 	if strings.Contains(detail, "request body too large") {
 		return refuse(amrreason.TooLarge, "body")
 	}
+	// The value may be the text of a prompt, which is not kept.
+	detail, _, _ = strings.Cut(detail, " but got value")
 	return refuse(amrreason.BadRequest, detail)
 }
 
--- a/router/amrrouter/decisions.go
+++ b/router/amrrouter/decisions.go
@@ -1,108 +1,155 @@
 package amrrouter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
+	"amaranthreach.example/core/amrexplain"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrreason"
 )
 
-const keptDecisions = 4096
-
-// decisions keeps the latest decisions for explain.
+// decisions keeps the decisions on requests: those in progress here, the
+// others with the recorder.
 type decisions struct {
-	kept *lru.Cache[string, *decision]
-}
+	recorder *amrexplain.Recorder
 
-// decision is why a request went where it did, or why it did not run.
-type decision struct {
-	mu           sync.Mutex
-	requestID    string
-	team         string
-	deployment   string
-	revision     uint64
-	at           time.Time
-	candidates   []candidate
-	attempts     []attemptNote
-	outcome      string
-	reason       amrreason.Code
-	ran          amrreason.Ran
-	promptTokens uint32
-	cachedTokens uint32
+	mu      sync.Mutex
+	running map[string]*decision
 }
 
-type attemptNote struct {
-	server string
-	result string
+func newDecisions(recorder *amrexplain.Recorder) *decisions {
+	return &decisions{recorder: recorder, running: map[string]*decision{}}
 }
 
-func newDecisions() *decisions {
-	kept, err := lru.New[string, *decision](keptDecisions)
-	if err != nil {
-		panic(err) // Only for a size below one.
-	}
-	return &decisions{kept: kept}
+// decision is why a request goes where it goes, while it is in progress.
+type decision struct {
+	all *decisions
+
+	mu    sync.Mutex
+	value amrexplain.Decision
 }
 
 func (d *decisions) begin(q *request, ranked []candidate, now time.Time) *decision {
-	made := &decision{
-		requestID:  q.id,
-		team:       q.team,
-		deployment: q.deployment,
-		revision:   q.set.Revision(),
-		at:         now,
-		candidates: ranked,
-		outcome:    "running",
+	made := &decision{all: d, value: amrexplain.Decision{
+		RequestID:  q.id,
+		Team:       q.team,
+		Deployment: q.deployment,
+		Revision:   q.set.Revision(),
+		Policy:     string(q.policy.Policy),
+		At:         now.UTC(),
+		Outcome:    amrexplain.Running,
+		Ran:        amrreason.Unknown,
+	}}
+	for _, c := range ranked {
+		made.value.Candidates = append(made.value.Candidates, amrexplain.Candidate{BackendServer: c.name, Cost: c.cost})
 	}
-	d.kept.Add(q.id, made)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[q.id] = made
 	return made
 }
 
+// get returns the decision on a request in progress.
+func (d *decisions) get(id string) (amrexplain.Decision, bool) {
+	d.mu.Lock()
+	running, ok := d.running[id]
+	d.mu.Unlock()
+	if !ok {
+		return amrexplain.Decision{}, false
+	}
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	return running.value, true
+}
+
 // refused notes a request that was refused before a session began.
 func (d *decisions) refused(id, team string, refused *refusal, now time.Time) {
-	if d.kept.Contains(id) {
+	d.mu.Lock()
+	_, running := d.running[id]
+	d.mu.Unlock()
+	if _, ended := d.recorder.Get(id); running || ended {
 		return
 	}
-	d.kept.Add(id, &decision{
-		requestID: id,
-		team:      team,
-		at:        now,
-		outcome:   "refused",
-		reason:    refused.reason,
-		ran:       refused.ran,
+	d.recorder.Add(amrexplain.Decision{
+		RequestID:  id,
+		Team:       team,
+		At:         now.UTC(),
+		Outcome:    amrexplain.Refused,
+		Reason:     refused.reason,
+		Ran:        refused.ran,
+		Detail:     refused.detail,
+		RetryAfter: refused.retryAfter,
 	})
 }
 
 func (d *decision) accepted(server string, _ *amrgate.Accepted) {
-	d.add(server, "accepted")
+	d.attempted(amrexplain.Attempt{BackendServer: server, Result: amrexplain.AttemptAccepted})
 }
 
+// attempt notes that an attempt gave no whole answer.
 func (d *decision) attempt(server string, reason amrreason.Code) {
-	d.add(server, string(reason))
+	result := amrexplain.AttemptDeclined
+	if d.inProgress(server) {
+		result = amrexplain.AttemptFailed
+	}
+	d.attempted(amrexplain.Attempt{BackendServer: server, Result: result, Reason: reason, Ran: amrreason.Of(reason).Ran})
+}
+
+func (d *decision) finished(server string, end *amrgate.End, now time.Time) {
+	d.attempted(amrexplain.Attempt{BackendServer: server, Result: amrexplain.AttemptFinished})
+	d.end(now, func(value *amrexplain.Decision) {
+		value.Outcome = amrexplain.Answered
+		value.Ran = amrreason.DidRun
+		value.PromptTokens = end.GetPromptTokens()
+		value.CachedTokens = end.GetCachedTokens()
+		value.CompletionTokens = end.GetCompletionTokens()
+	})
 }
 
-func (d *decision) finished(server string, end *amrgate.End, _ time.Time) {
-	d.add(server, "finished")
+func (d *decision) refused(refused *refusal, now time.Time) {
+	d.end(now, func(value *amrexplain.Decision) {
+		value.Outcome = amrexplain.Refused
+		value.Reason = refused.reason
+		value.Ran = refused.ran
+		value.Detail = refused.detail
+		value.RetryAfter = refused.retryAfter
+	})
+}
+
+// end hands the decision to the recorder. Only the first call has an effect.
+func (d *decision) end(now time.Time, change func(*amrexplain.Decision)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.outcome = "answered"
-	d.promptTokens = end.GetPromptTokens()
-	d.cachedTokens = end.GetCachedTokens()
+	if d.value.Outcome != amrexplain.Running {
+		return
+	}
+	change(&d.value)
+	d.value.Took = now.Sub(d.value.At)
+	d.all.recorder.Add(d.value)
+	d.all.mu.Lock()
+	defer d.all.mu.Unlock()
+	delete(d.all.running, d.value.RequestID)
 }
 
-func (d *decision) refused(refused *refusal) {
+// inProgress reports whether the last attempt runs at the server.
+func (d *decision) inProgress(server string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.outcome = "refused"
-	d.reason = refused.reason
-	d.ran = refused.ran
+	last := len(d.value.Attempts) - 1
+	return last >= 0 && d.value.Attempts[last].BackendServer == server && d.value.Attempts[last].Result == amrexplain.AttemptAccepted
 }
 
-func (d *decision) add(server, outcome string) {
+// attempted notes an attempt, in place of its acceptance when that was noted.
+func (d *decision) attempted(a amrexplain.Attempt) {
+	replaces := d.inProgress(a.BackendServer)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.attempts = append(d.attempts, attemptNote{server: server, result: outcome})
+	attempts := slices.Clone(d.value.Attempts) // Readers of the value hold the old one.
+	if replaces {
+		attempts = attempts[:len(attempts)-1]
+	}
+	attempts = append(attempts, a)
+	d.value.Attempts = attempts
 }
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthreach.example/core/amrconfig"
+	"amaranthreach.example/core/amrexplain"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrledger"
 	"amaranthreach.example/core/amrplatform"
@@ -38,10 +38,11 @@
 	clock       clockwork.Clock
 	log         *slog.Logger
 	incarnation string
-	sequence    atomic.Uint64
+	ids         *amrexplain.IDs
 	listeners   Listeners
 	registry    *prometheus.Registry
 	metrics     *metrics
+	store       *amrconfig.Store
 	follower    *amrconfig.Follower
 	platform    platform
 	gates       *gates
@@ -85,6 +86,12 @@
 	return func(r *Router) { r.listeners = listeners }
 }
 
+// WithPlatform sets the platform's services. The default are those at the
+// settings' URL.
+func WithPlatform(platform platform) Option {
+	return func(r *Router) { r.platform = platform }
+}
+
 // New returns a router that does not run yet.
 func New(settings Settings, options ...Option) (*Router, error) {
 	r := &Router{
@@ -105,11 +112,17 @@
 	r.metrics = newMetrics(r.registry)
 	r.gates = newGates(config)
 	r.chooser = newChooser()
-	r.decisions = newDecisions()
 	r.sidecars = newSidecars()
-	r.platform = amrplatform.NewClient(settings.PlatformURL)
-	store := amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
-	r.follower = amrconfig.NewFollower(store)
+	if r.platform == nil {
+		r.platform = amrplatform.NewClient(settings.PlatformURL)
+	}
+	r.decisions = newDecisions(amrexplain.NewRecorder(settings.Name, r.incarnation, r.platform, r.clock))
+	r.ids = amrexplain.NewIDs(settings.Name, r.incarnation)
+	r.store = amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
+	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(amrconfig.Peer{
+		Name:             settings.Name,
+		AvailabilityZone: settings.AvailabilityZone,
+	}))
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
 	return r, nil
 }
@@ -136,6 +149,7 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return ignoreCanceled(r.follower.Run(background)) })
 	group.Go(func() error { return r.ledger.Maintain(background) })
+	group.Go(func() error { return r.decisions.recorder.Run(background) })
 	group.Go(func() error { return r.serveOperators(background) })
 	group.Go(func() error {
 		defer stop()
@@ -165,13 +179,14 @@
 func (r *Router) Ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.draining && r.follower.Current().Revision() > 0
+	return !r.draining && r.follower.Current().Revision() > 0 && r.follower.Ready()
 }
 
 // observe notes what a sidecar said of itself.
 func (r *Router) observe(name string, load *amrgate.Load) {
 	r.chooser.observe(name, load)
 	r.sidecars.observe(name, load, r.clock.Now())
+	r.follower.Heard(load.GetRevision())
 }
 
 func (r *Router) listen() error {
@@ -222,6 +237,7 @@
 	mux := goahttp.NewMuxer()
 	service := &operatorsService{router: r}
 	server := operatorsserver.New(operators.NewEndpoints(service), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	server.Use(withAddress)
 	server.Mount(mux)
 	metricsHandler := promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})
 	mux.Handle(http.MethodGet, "/metrics", metricsHandler.ServeHTTP)
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -94,7 +94,7 @@
 // give ends the session with a refusal.
 func (s *session) give(refused *refusal) *refusal {
 	s.close()
-	s.decision.refused(refused)
+	s.decision.refused(refused, s.router.clock.Now())
 	return refused
 }
 
--- a/router/gen/http/cli/router/cli.go
+++ b/router/gen/http/cli/router/cli.go
@@ -25,14 +25,14 @@
 func UsageCommands() []string {
 	return []string{
 		"callers (chat|complete|call)",
-		"operators explain",
+		"operators (apply|rollback|drain|records|history|verify|explain|why-not|status)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 20620,\n      \"messages\": [\n         {\n            \"content\": \"Repellendus quos illo esse mollitia.\",\n            \"role\": \"nq6\"\n         }\n      ],\n      \"model\": \"740\",\n      \"stream\": true\n   }' --key \"Voluptatem facilis nemo fugit beatae voluptatibus.\" --idempotency-key \"4fo\" --timeout \"Maiores unde.\" --traffic-priority 2" + "\n" +
-		os.Args[0] + " " + "operators explain --id \"A vero quidem laborum quia et dicta.\" --key \"Velit dolorem ut ea ut deserunt in.\"" + "\n" +
+	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 7772,\n      \"messages\": [\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         }\n      ],\n      \"model\": \"jy7\",\n      \"stream\": true\n   }' --key \"Explicabo et.\" --idempotency-key \"qbs\" --timeout \"Repellat animi ratione.\" --traffic-priority 4" + "\n" +
+		os.Args[0] + " " + "operators apply --body '{\n      \"base\": 2174811047410105826,\n      \"delete\": [\n         \"Quos quod velit placeat fuga non praesentium.\",\n         \"Nisi omnis.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         }\n      ],\n      \"operator\": \"y4\",\n      \"reason\": \"gbq\",\n      \"token\": \"zq4\"\n   }' --key \"Ipsam quisquam consectetur quibusdam sit tempora.\"" + "\n" +
 		""
 }
 
@@ -74,9 +74,50 @@
 
 		operatorsFlags = flag.NewFlagSet("operators", flag.ContinueOnError)
 
+		operatorsApplyFlags    = flag.NewFlagSet("apply", flag.ExitOnError)
+		operatorsApplyBodyFlag = operatorsApplyFlags.String("body", "REQUIRED", "")
+		operatorsApplyKeyFlag  = operatorsApplyFlags.String("key", "REQUIRED", "")
+
+		operatorsRollbackFlags    = flag.NewFlagSet("rollback", flag.ExitOnError)
+		operatorsRollbackBodyFlag = operatorsRollbackFlags.String("body", "REQUIRED", "")
+		operatorsRollbackKeyFlag  = operatorsRollbackFlags.String("key", "REQUIRED", "")
+
+		operatorsDrainFlags    = flag.NewFlagSet("drain", flag.ExitOnError)
+		operatorsDrainBodyFlag = operatorsDrainFlags.String("body", "REQUIRED", "")
+		operatorsDrainNameFlag = operatorsDrainFlags.String("name", "REQUIRED", "")
+		operatorsDrainKeyFlag  = operatorsDrainFlags.String("key", "REQUIRED", "")
+
+		operatorsRecordsFlags        = flag.NewFlagSet("records", flag.ExitOnError)
+		operatorsRecordsKindFlag     = operatorsRecordsFlags.String("kind", "", "")
+		operatorsRecordsNameFlag     = operatorsRecordsFlags.String("name", "", "")
+		operatorsRecordsRevisionFlag = operatorsRecordsFlags.String("revision", "", "")
+		operatorsRecordsVariantsFlag = operatorsRecordsFlags.String("variants", "", "")
+		operatorsRecordsKeyFlag      = operatorsRecordsFlags.String("key", "REQUIRED", "")
+
+		operatorsHistoryFlags      = flag.NewFlagSet("history", flag.ExitOnError)
+		operatorsHistoryRecordFlag = operatorsHistoryFlags.String("record", "", "")
+		operatorsHistoryBeforeFlag = operatorsHistoryFlags.String("before", "", "")
+		operatorsHistoryLimitFlag  = operatorsHistoryFlags.String("limit", "20", "")
+		operatorsHistoryKeyFlag    = operatorsHistoryFlags.String("key", "REQUIRED", "")
+
+		operatorsVerifyFlags   = flag.NewFlagSet("verify", flag.ExitOnError)
+		operatorsVerifyKeyFlag = operatorsVerifyFlags.String("key", "REQUIRED", "")
+
 		operatorsExplainFlags   = flag.NewFlagSet("explain", flag.ExitOnError)
 		operatorsExplainIDFlag  = operatorsExplainFlags.String("id", "REQUIRED", "Identity of the request.")
 		operatorsExplainKeyFlag = operatorsExplainFlags.String("key", "REQUIRED", "")
+
+		operatorsWhyNotFlags          = flag.NewFlagSet("why-not", flag.ExitOnError)
+		operatorsWhyNotTeamFlag       = operatorsWhyNotFlags.String("team", "", "")
+		operatorsWhyNotDeploymentFlag = operatorsWhyNotFlags.String("deployment", "", "")
+		operatorsWhyNotReasonFlag     = operatorsWhyNotFlags.String("reason", "", "")
+		operatorsWhyNotSinceFlag      = operatorsWhyNotFlags.String("since", "", "")
+		operatorsWhyNotUntilFlag      = operatorsWhyNotFlags.String("until", "", "")
+		operatorsWhyNotLimitFlag      = operatorsWhyNotFlags.String("limit", "20", "")
+		operatorsWhyNotKeyFlag        = operatorsWhyNotFlags.String("key", "REQUIRED", "")
+
+		operatorsStatusFlags   = flag.NewFlagSet("status", flag.ExitOnError)
+		operatorsStatusKeyFlag = operatorsStatusFlags.String("key", "REQUIRED", "")
 	)
 	callersFlags.Usage = callersUsage
 	callersChatFlags.Usage = callersChatUsage
@@ -84,7 +125,15 @@
 	callersCallFlags.Usage = callersCallUsage
 
 	operatorsFlags.Usage = operatorsUsage
+	operatorsApplyFlags.Usage = operatorsApplyUsage
+	operatorsRollbackFlags.Usage = operatorsRollbackUsage
+	operatorsDrainFlags.Usage = operatorsDrainUsage
+	operatorsRecordsFlags.Usage = operatorsRecordsUsage
+	operatorsHistoryFlags.Usage = operatorsHistoryUsage
+	operatorsVerifyFlags.Usage = operatorsVerifyUsage
 	operatorsExplainFlags.Usage = operatorsExplainUsage
+	operatorsWhyNotFlags.Usage = operatorsWhyNotUsage
+	operatorsStatusFlags.Usage = operatorsStatusUsage
 
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
@@ -135,9 +184,33 @@
 
 		case "operators":
 			switch epn {
+			case "apply":
+				epf = operatorsApplyFlags
+
+			case "rollback":
+				epf = operatorsRollbackFlags
+
+			case "drain":
+				epf = operatorsDrainFlags
+
+			case "records":
+				epf = operatorsRecordsFlags
+
+			case "history":
+				epf = operatorsHistoryFlags
+
+			case "verify":
+				epf = operatorsVerifyFlags
+
 			case "explain":
 				epf = operatorsExplainFlags
 
+			case "why-not":
+				epf = operatorsWhyNotFlags
+
+			case "status":
+				epf = operatorsStatusFlags
+
 			}
 
 		}
@@ -179,9 +252,33 @@
 		case "operators":
 			c := operatorsc.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
+			case "apply":
+				endpoint = c.Apply()
+				data, err = operatorsc.BuildApplyPayload(*operatorsApplyBodyFlag, *operatorsApplyKeyFlag)
+			case "rollback":
+				endpoint = c.Rollback()
+				data, err = operatorsc.BuildRollbackPayload(*operatorsRollbackBodyFlag, *operatorsRollbackKeyFlag)
+			case "drain":
+				endpoint = c.Drain()
+				data, err = operatorsc.BuildDrainPayload(*operatorsDrainBodyFlag, *operatorsDrainNameFlag, *operatorsDrainKeyFlag)
+			case "records":
+				endpoint = c.Records()
+				data, err = operatorsc.BuildRecordsPayload(*operatorsRecordsKindFlag, *operatorsRecordsNameFlag, *operatorsRecordsRevisionFlag, *operatorsRecordsVariantsFlag, *operatorsRecordsKeyFlag)
+			case "history":
+				endpoint = c.History()
+				data, err = operatorsc.BuildHistoryPayload(*operatorsHistoryRecordFlag, *operatorsHistoryBeforeFlag, *operatorsHistoryLimitFlag, *operatorsHistoryKeyFlag)
+			case "verify":
+				endpoint = c.Verify()
+				data, err = operatorsc.BuildVerifyPayload(*operatorsVerifyKeyFlag)
 			case "explain":
 				endpoint = c.Explain()
 				data, err = operatorsc.BuildExplainPayload(*operatorsExplainIDFlag, *operatorsExplainKeyFlag)
+			case "why-not":
+				endpoint = c.WhyNot()
+				data, err = operatorsc.BuildWhyNotPayload(*operatorsWhyNotTeamFlag, *operatorsWhyNotDeploymentFlag, *operatorsWhyNotReasonFlag, *operatorsWhyNotSinceFlag, *operatorsWhyNotUntilFlag, *operatorsWhyNotLimitFlag, *operatorsWhyNotKeyFlag)
+			case "status":
+				endpoint = c.Status()
+				data, err = operatorsc.BuildStatusPayload(*operatorsStatusKeyFlag)
 			}
 		}
 	}
@@ -227,7 +324,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 20620,\n      \"messages\": [\n         {\n            \"content\": \"Repellendus quos illo esse mollitia.\",\n            \"role\": \"nq6\"\n         }\n      ],\n      \"model\": \"740\",\n      \"stream\": true\n   }' --key \"Voluptatem facilis nemo fugit beatae voluptatibus.\" --idempotency-key \"4fo\" --timeout \"Maiores unde.\" --traffic-priority 2")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 7772,\n      \"messages\": [\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         }\n      ],\n      \"model\": \"jy7\",\n      \"stream\": true\n   }' --key \"Explicabo et.\" --idempotency-key \"qbs\" --timeout \"Repellat animi ratione.\" --traffic-priority 4")
 }
 
 func callersCompleteUsage() {
@@ -253,7 +350,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 48983,\n      \"model\": \"ps8\",\n      \"prompt\": \"Quam quia inventore minus ab voluptates.\",\n      \"stream\": true\n   }' --key \"Commodi atque.\" --idempotency-key \"op2\" --timeout \"Repellendus beatae dolorem cum similique sit repellendus.\" --traffic-priority 7")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 34131,\n      \"model\": \"8ap\",\n      \"prompt\": \"Incidunt perferendis et rerum velit velit.\",\n      \"stream\": true\n   }' --key \"Alias laboriosam et vel repellat est.\" --idempotency-key \"06v\" --timeout \"Quis qui sequi voluptate.\" --traffic-priority 2")
 }
 
 func callersCallUsage() {
@@ -285,7 +382,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Quo aut natus veniam necessitatibus atque eligendi.\" --path \"Sunt aut dolor saepe.\" --key \"Maxime reiciendis quo.\" --idempotency-key \"2z3\" --timeout \"Quam enim aut optio minus aut saepe.\" --traffic-priority 7 --content-type \"Qui deleniti perspiciatis sapiente.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Alias ut vero debitis cumque numquam quae.\" --path \"Quasi est qui sit consequatur quam eos.\" --key \"Esse perferendis fuga et est.\" --idempotency-key \"bhe\" --timeout \"Dolorum neque nostrum.\" --traffic-priority 7 --content-type \"Fuga sed harum.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -294,11 +391,149 @@
 	fmt.Fprintln(os.Stderr, `Serves operators.`)
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] operators COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    apply: Puts and deletes records, all or none.`)
+	fmt.Fprintln(os.Stderr, `    rollback: Brings back the records of an older revision as a new one.`)
+	fmt.Fprintln(os.Stderr, `    drain: Starts or ends the draining of a backend server by its record.`)
+	fmt.Fprintln(os.Stderr, `    records: Records implements records.`)
+	fmt.Fprintln(os.Stderr, `    history: Returns the newest entries of the audit trail.`)
+	fmt.Fprintln(os.Stderr, `    verify: Checks that no entry of the audit trail is missing or edited.`)
 	fmt.Fprintln(os.Stderr, `    explain: Explain implements explain.`)
+	fmt.Fprintln(os.Stderr, `    why-not: Returns refusals.`)
+	fmt.Fprintln(os.Stderr, `    status: Status implements status.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s operators COMMAND --help\n", os.Args[0])
 }
+func operatorsApplyUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators apply", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Puts and deletes records, all or none.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply --body '{\n      \"base\": 2174811047410105826,\n      \"delete\": [\n         \"Quos quod velit placeat fuga non praesentium.\",\n         \"Nisi omnis.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         }\n      ],\n      \"operator\": \"y4\",\n      \"reason\": \"gbq\",\n      \"token\": \"zq4\"\n   }' --key \"Ipsam quisquam consectetur quibusdam sit tempora.\"")
+}
+
+func operatorsRollbackUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators rollback", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Brings back the records of an older revision as a new one.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback --body '{\n      \"base\": 8124570131131898199,\n      \"dry_run\": false,\n      \"operator\": \"h\",\n      \"reason\": \"3h2\",\n      \"revision\": 16217404673943216255,\n      \"token\": \"b9n\"\n   }' --key \"Quas earum nemo enim beatae consequatur.\"")
+}
+
+func operatorsDrainUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators drain", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -name STRING")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Starts or ends the draining of a backend server by its record.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -name STRING: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators drain --body '{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"99\",\n      \"reason\": \"1\",\n      \"token\": \"6lo\",\n      \"undo\": true\n   }' --name \"Pariatur beatae optio distinctio et.\" --key \"Rerum nulla quo.\"")
+}
+
+func operatorsRecordsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators records", os.Args[0])
+	fmt.Fprint(os.Stderr, " -kind STRING")
+	fmt.Fprint(os.Stderr, " -name STRING")
+	fmt.Fprint(os.Stderr, " -revision UINT64")
+	fmt.Fprint(os.Stderr, " -variants BOOL")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Records implements records.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -kind STRING: `)
+	fmt.Fprintln(os.Stderr, `    -name STRING: `)
+	fmt.Fprintln(os.Stderr, `    -revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -variants BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators records --kind \"Eaque fugit quos eum impedit cum.\" --name \"Doloremque nam.\" --revision 8257068088333112157 --variants true --key \"Voluptates reprehenderit tempore voluptas.\"")
+}
+
+func operatorsHistoryUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators history", os.Args[0])
+	fmt.Fprint(os.Stderr, " -record STRING")
+	fmt.Fprint(os.Stderr, " -before UINT64")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Returns the newest entries of the audit trail.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -record STRING: `)
+	fmt.Fprintln(os.Stderr, `    -before UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators history --record \"Quia minima.\" --before 11089834371257902575 --limit 283 --key \"Cumque aliquid nobis.\"")
+}
+
+func operatorsVerifyUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators verify", os.Args[0])
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Checks that no entry of the audit trail is missing or edited.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators verify --key \"Aspernatur modi nihil.\"")
+}
+
 func operatorsExplainUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] operators explain", os.Args[0])
@@ -316,5 +551,53 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"A vero quidem laborum quia et dicta.\" --key \"Velit dolorem ut ea ut deserunt in.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"Assumenda tempora explicabo veritatis voluptate minima.\" --key \"Aut amet sed laboriosam.\"")
+}
+
+func operatorsWhyNotUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators why-not", os.Args[0])
+	fmt.Fprint(os.Stderr, " -team STRING")
+	fmt.Fprint(os.Stderr, " -deployment STRING")
+	fmt.Fprint(os.Stderr, " -reason STRING")
+	fmt.Fprint(os.Stderr, " -since STRING")
+	fmt.Fprint(os.Stderr, " -until STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Returns refusals.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -team STRING: `)
+	fmt.Fprintln(os.Stderr, `    -deployment STRING: `)
+	fmt.Fprintln(os.Stderr, `    -reason STRING: `)
+	fmt.Fprintln(os.Stderr, `    -since STRING: `)
+	fmt.Fprintln(os.Stderr, `    -until STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators why-not --team \"Et ipsam exercitationem autem.\" --deployment \"Exercitationem quidem ipsum dolorum aut laboriosam.\" --reason \"Porro quidem aut velit vel ipsam consequatur.\" --since \"Reiciendis quo sed dolores facere pariatur.\" --until \"Culpa tenetur libero aut est.\" --limit 579 --key \"Dolorem iure quisquam.\"")
+}
+
+func operatorsStatusUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators status", os.Args[0])
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Status implements status.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators status --key \"Quaerat saepe corrupti id quisquam impedit.\"")
 }
--- a/router/gen/http/operators/client/cli.go
+++ b/router/gen/http/operators/client/cli.go
@@ -8,9 +8,341 @@
 package client
 
 import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"unicode/utf8"
+
 	operators "amaranthreach.example/router/gen/operators"
+	goa "goa.design/goa/v3/pkg"
 )
 
+// BuildApplyPayload builds the payload for the operators apply endpoint from
+// CLI flags.
+func BuildApplyPayload(operatorsApplyBody string, operatorsApplyKey string) (*operators.ApplyPayload, error) {
+	var err error
+	var body ApplyRequestBody
+	{
+		err = json.Unmarshal([]byte(operatorsApplyBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 2174811047410105826,\n      \"delete\": [\n         \"Quos quod velit placeat fuga non praesentium.\",\n         \"Nisi omnis.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         }\n      ],\n      \"operator\": \"y4\",\n      \"reason\": \"gbq\",\n      \"token\": \"zq4\"\n   }'")
+		}
+		if utf8.RuneCountInString(body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
+		}
+		if utf8.RuneCountInString(body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 128, false))
+		}
+		if utf8.RuneCountInString(body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1, true))
+		}
+		if utf8.RuneCountInString(body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1000, false))
+		}
+		if body.Token != nil {
+			if utf8.RuneCountInString(*body.Token) > 64 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.token", *body.Token, utf8.RuneCountInString(*body.Token), 64, false))
+			}
+		}
+		for _, e := range body.Files {
+			if e != nil {
+				if err2 := ValidateRecordFileRequestBody(e); err2 != nil {
+					err = goa.MergeErrors(err, err2)
+				}
+			}
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var key string
+	{
+		key = operatorsApplyKey
+	}
+	v := &operators.ApplyPayload{
+		Operator: body.Operator,
+		Reason:   body.Reason,
+		Token:    body.Token,
+		Base:     body.Base,
+		DryRun:   body.DryRun,
+	}
+	{
+		var zero uint64
+		if v.Base == zero {
+			v.Base = 0
+		}
+	}
+	{
+		var zero bool
+		if v.DryRun == zero {
+			v.DryRun = false
+		}
+	}
+	if body.Files != nil {
+		v.Files = make([]*operators.RecordFile, len(body.Files))
+		for i, val := range body.Files {
+			if val == nil {
+				v.Files[i] = nil
+				continue
+			}
+			v.Files[i] = marshalRecordFileRequestBodyToOperatorsRecordFile(val)
+		}
+	}
+	if body.Delete != nil {
+		v.Delete = make([]string, len(body.Delete))
+		for i, val := range body.Delete {
+			v.Delete[i] = val
+		}
+	}
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildRollbackPayload builds the payload for the operators rollback endpoint
+// from CLI flags.
+func BuildRollbackPayload(operatorsRollbackBody string, operatorsRollbackKey string) (*operators.RollbackPayload, error) {
+	var err error
+	var body RollbackRequestBody
+	{
+		err = json.Unmarshal([]byte(operatorsRollbackBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 8124570131131898199,\n      \"dry_run\": false,\n      \"operator\": \"h\",\n      \"reason\": \"3h2\",\n      \"revision\": 16217404673943216255,\n      \"token\": \"b9n\"\n   }'")
+		}
+		if utf8.RuneCountInString(body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
+		}
+		if utf8.RuneCountInString(body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 128, false))
+		}
+		if utf8.RuneCountInString(body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1, true))
+		}
+		if utf8.RuneCountInString(body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1000, false))
+		}
+		if body.Token != nil {
+			if utf8.RuneCountInString(*body.Token) > 64 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.token", *body.Token, utf8.RuneCountInString(*body.Token), 64, false))
+			}
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var key string
+	{
+		key = operatorsRollbackKey
+	}
+	v := &operators.RollbackPayload{
+		Operator: body.Operator,
+		Reason:   body.Reason,
+		Token:    body.Token,
+		Base:     body.Base,
+		DryRun:   body.DryRun,
+		Revision: body.Revision,
+	}
+	{
+		var zero uint64
+		if v.Base == zero {
+			v.Base = 0
+		}
+	}
+	{
+		var zero bool
+		if v.DryRun == zero {
+			v.DryRun = false
+		}
+	}
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildDrainPayload builds the payload for the operators drain endpoint from
+// CLI flags.
+func BuildDrainPayload(operatorsDrainBody string, operatorsDrainName string, operatorsDrainKey string) (*operators.DrainPayload, error) {
+	var err error
+	var body DrainRequestBody
+	{
+		err = json.Unmarshal([]byte(operatorsDrainBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"99\",\n      \"reason\": \"1\",\n      \"token\": \"6lo\",\n      \"undo\": true\n   }'")
+		}
+		if utf8.RuneCountInString(body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
+		}
+		if utf8.RuneCountInString(body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 128, false))
+		}
+		if utf8.RuneCountInString(body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1, true))
+		}
+		if utf8.RuneCountInString(body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1000, false))
+		}
+		if body.Token != nil {
+			if utf8.RuneCountInString(*body.Token) > 64 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.token", *body.Token, utf8.RuneCountInString(*body.Token), 64, false))
+			}
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var name string
+	{
+		name = operatorsDrainName
+	}
+	var key string
+	{
+		key = operatorsDrainKey
+	}
+	v := &operators.DrainPayload{
+		Operator: body.Operator,
+		Reason:   body.Reason,
+		Token:    body.Token,
+		Base:     body.Base,
+		DryRun:   body.DryRun,
+		Undo:     body.Undo,
+	}
+	{
+		var zero uint64
+		if v.Base == zero {
+			v.Base = 0
+		}
+	}
+	{
+		var zero bool
+		if v.DryRun == zero {
+			v.DryRun = false
+		}
+	}
+	{
+		var zero bool
+		if v.Undo == zero {
+			v.Undo = false
+		}
+	}
+	v.Name = name
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildRecordsPayload builds the payload for the operators records endpoint
+// from CLI flags.
+func BuildRecordsPayload(operatorsRecordsKind string, operatorsRecordsName string, operatorsRecordsRevision string, operatorsRecordsVariants string, operatorsRecordsKey string) (*operators.RecordsPayload, error) {
+	var err error
+	var kind *string
+	{
+		if operatorsRecordsKind != "" {
+			kind = &operatorsRecordsKind
+		}
+	}
+	var name *string
+	{
+		if operatorsRecordsName != "" {
+			name = &operatorsRecordsName
+		}
+	}
+	var revision uint64
+	{
+		if operatorsRecordsRevision != "" {
+			revision, err = strconv.ParseUint(operatorsRecordsRevision, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for revision, must be UINT64")
+			}
+		}
+	}
+	var variants bool
+	{
+		if operatorsRecordsVariants != "" {
+			variants, err = strconv.ParseBool(operatorsRecordsVariants)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for variants, must be BOOL")
+			}
+		}
+	}
+	var key string
+	{
+		key = operatorsRecordsKey
+	}
+	v := &operators.RecordsPayload{}
+	v.Kind = kind
+	v.Name = name
+	v.Revision = revision
+	v.Variants = variants
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildHistoryPayload builds the payload for the operators history endpoint
+// from CLI flags.
+func BuildHistoryPayload(operatorsHistoryRecord string, operatorsHistoryBefore string, operatorsHistoryLimit string, operatorsHistoryKey string) (*operators.HistoryPayload, error) {
+	var err error
+	var record *string
+	{
+		if operatorsHistoryRecord != "" {
+			record = &operatorsHistoryRecord
+		}
+	}
+	var before uint64
+	{
+		if operatorsHistoryBefore != "" {
+			before, err = strconv.ParseUint(operatorsHistoryBefore, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for before, must be UINT64")
+			}
+		}
+	}
+	var limit int
+	{
+		if operatorsHistoryLimit != "" {
+			var v int64
+			v, err = strconv.ParseInt(operatorsHistoryLimit, 10, strconv.IntSize)
+			limit = int(v)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for limit, must be INT")
+			}
+			if limit < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1, true))
+			}
+			if limit > 1000 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1000, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	var key string
+	{
+		key = operatorsHistoryKey
+	}
+	v := &operators.HistoryPayload{}
+	v.Record = record
+	v.Before = before
+	v.Limit = limit
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildVerifyPayload builds the payload for the operators verify endpoint from
+// CLI flags.
+func BuildVerifyPayload(operatorsVerifyKey string) (*operators.VerifyPayload, error) {
+	var key string
+	{
+		key = operatorsVerifyKey
+	}
+	v := &operators.VerifyPayload{}
+	v.Key = key
+
+	return v, nil
+}
+
 // BuildExplainPayload builds the payload for the operators explain endpoint
 // from CLI flags.
 func BuildExplainPayload(operatorsExplainID string, operatorsExplainKey string) (*operators.ExplainPayload, error) {
@@ -28,3 +360,86 @@
 
 	return v, nil
 }
+
+// BuildWhyNotPayload builds the payload for the operators why_not endpoint
+// from CLI flags.
+func BuildWhyNotPayload(operatorsWhyNotTeam string, operatorsWhyNotDeployment string, operatorsWhyNotReason string, operatorsWhyNotSince string, operatorsWhyNotUntil string, operatorsWhyNotLimit string, operatorsWhyNotKey string) (*operators.WhyNotPayload, error) {
+	var err error
+	var team *string
+	{
+		if operatorsWhyNotTeam != "" {
+			team = &operatorsWhyNotTeam
+		}
+	}
+	var deployment *string
+	{
+		if operatorsWhyNotDeployment != "" {
+			deployment = &operatorsWhyNotDeployment
+		}
+	}
+	var reason *string
+	{
+		if operatorsWhyNotReason != "" {
+			reason = &operatorsWhyNotReason
+		}
+	}
+	var since *string
+	{
+		if operatorsWhyNotSince != "" {
+			since = &operatorsWhyNotSince
+		}
+	}
+	var until *string
+	{
+		if operatorsWhyNotUntil != "" {
+			until = &operatorsWhyNotUntil
+		}
+	}
+	var limit int
+	{
+		if operatorsWhyNotLimit != "" {
+			var v int64
+			v, err = strconv.ParseInt(operatorsWhyNotLimit, 10, strconv.IntSize)
+			limit = int(v)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for limit, must be INT")
+			}
+			if limit < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1, true))
+			}
+			if limit > 1000 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1000, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	var key string
+	{
+		key = operatorsWhyNotKey
+	}
+	v := &operators.WhyNotPayload{}
+	v.Team = team
+	v.Deployment = deployment
+	v.Reason = reason
+	v.Since = since
+	v.Until = until
+	v.Limit = limit
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildStatusPayload builds the payload for the operators status endpoint from
+// CLI flags.
+func BuildStatusPayload(operatorsStatusKey string) (*operators.StatusPayload, error) {
+	var key string
+	{
+		key = operatorsStatusKey
+	}
+	v := &operators.StatusPayload{}
+	v.Key = key
+
+	return v, nil
+}
--- a/router/gen/http/operators/client/client.go
+++ b/router/gen/http/operators/client/client.go
@@ -17,10 +17,37 @@
 
 // Client lists the operators service endpoint HTTP clients.
 type Client struct {
+	// Apply Doer is the HTTP client used to make requests to the apply endpoint.
+	ApplyDoer goahttp.Doer
+
+	// Rollback Doer is the HTTP client used to make requests to the rollback
+	// endpoint.
+	RollbackDoer goahttp.Doer
+
+	// Drain Doer is the HTTP client used to make requests to the drain endpoint.
+	DrainDoer goahttp.Doer
+
+	// Records Doer is the HTTP client used to make requests to the records
+	// endpoint.
+	RecordsDoer goahttp.Doer
+
+	// History Doer is the HTTP client used to make requests to the history
+	// endpoint.
+	HistoryDoer goahttp.Doer
+
+	// Verify Doer is the HTTP client used to make requests to the verify endpoint.
+	VerifyDoer goahttp.Doer
+
 	// Explain Doer is the HTTP client used to make requests to the explain
 	// endpoint.
 	ExplainDoer goahttp.Doer
 
+	// WhyNot Doer is the HTTP client used to make requests to the why_not endpoint.
+	WhyNotDoer goahttp.Doer
+
+	// Status Doer is the HTTP client used to make requests to the status endpoint.
+	StatusDoer goahttp.Doer
+
 	// RestoreResponseBody controls whether the response bodies are reset after
 	// decoding so they can be read again.
 	RestoreResponseBody bool
@@ -41,7 +68,15 @@
 	restoreBody bool,
 ) *Client {
 	return &Client{
+		ApplyDoer:           doer,
+		RollbackDoer:        doer,
+		DrainDoer:           doer,
+		RecordsDoer:         doer,
+		HistoryDoer:         doer,
+		VerifyDoer:          doer,
 		ExplainDoer:         doer,
+		WhyNotDoer:          doer,
+		StatusDoer:          doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
 		host:                host,
@@ -50,6 +85,150 @@
 	}
 }
 
+// Apply returns an endpoint that makes HTTP requests to the operators service
+// apply server.
+func (c *Client) Apply() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeApplyRequest(c.encoder)
+		decodeResponse = DecodeApplyResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildApplyRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ApplyDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "apply", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Rollback returns an endpoint that makes HTTP requests to the operators
+// service rollback server.
+func (c *Client) Rollback() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRollbackRequest(c.encoder)
+		decodeResponse = DecodeRollbackResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRollbackRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RollbackDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "rollback", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Drain returns an endpoint that makes HTTP requests to the operators service
+// drain server.
+func (c *Client) Drain() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeDrainRequest(c.encoder)
+		decodeResponse = DecodeDrainResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildDrainRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.DrainDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "drain", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Records returns an endpoint that makes HTTP requests to the operators
+// service records server.
+func (c *Client) Records() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRecordsRequest(c.encoder)
+		decodeResponse = DecodeRecordsResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRecordsRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RecordsDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "records", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// History returns an endpoint that makes HTTP requests to the operators
+// service history server.
+func (c *Client) History() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeHistoryRequest(c.encoder)
+		decodeResponse = DecodeHistoryResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildHistoryRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.HistoryDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "history", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Verify returns an endpoint that makes HTTP requests to the operators service
+// verify server.
+func (c *Client) Verify() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeVerifyRequest(c.encoder)
+		decodeResponse = DecodeVerifyResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildVerifyRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.VerifyDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "verify", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Explain returns an endpoint that makes HTTP requests to the operators
 // service explain server.
 func (c *Client) Explain() goa.Endpoint {
@@ -73,3 +252,51 @@
 		return decodeResponse(resp)
 	}
 }
+
+// WhyNot returns an endpoint that makes HTTP requests to the operators service
+// why_not server.
+func (c *Client) WhyNot() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeWhyNotRequest(c.encoder)
+		decodeResponse = DecodeWhyNotResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildWhyNotRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.WhyNotDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "why_not", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Status returns an endpoint that makes HTTP requests to the operators service
+// status server.
+func (c *Client) Status() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeStatusRequest(c.encoder)
+		decodeResponse = DecodeStatusResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildStatusRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.StatusDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "status", err)
+		}
+		return decodeResponse(resp)
+	}
+}
--- a/router/gen/http/operators/client/encode_decode.go
+++ b/router/gen/http/operators/client/encode_decode.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -18,6 +19,1113 @@
 	goahttp "goa.design/goa/v3/http"
 )
 
+// BuildApplyRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "apply" endpoint
+func (c *Client) BuildApplyRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ApplyOperatorsPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "apply", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeApplyRequest returns an encoder for requests sent to the operators
+// apply server.
+func EncodeApplyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.ApplyPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "apply", "*operators.ApplyPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		body := NewApplyRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("operators", "apply", err)
+		}
+		return nil
+	}
+}
+
+// DecodeApplyResponse returns a decoder for responses returned by the
+// operators apply endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeApplyResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeApplyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ApplyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			res := NewApplyAppliedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ApplyBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body ApplyUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body ApplyForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body ApplyNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body ApplyConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body ApplyTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body ApplyUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "apply", err)
+			}
+			err = ValidateApplyUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "apply", err)
+			}
+			return nil, NewApplyUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "apply", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRollbackRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "rollback" endpoint
+func (c *Client) BuildRollbackRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RollbackOperatorsPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "rollback", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRollbackRequest returns an encoder for requests sent to the operators
+// rollback server.
+func EncodeRollbackRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.RollbackPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "rollback", "*operators.RollbackPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		body := NewRollbackRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("operators", "rollback", err)
+		}
+		return nil
+	}
+}
+
+// DecodeRollbackResponse returns a decoder for responses returned by the
+// operators rollback endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeRollbackResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeRollbackResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RollbackResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			res := NewRollbackAppliedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RollbackBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body RollbackUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body RollbackForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body RollbackNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body RollbackConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body RollbackTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body RollbackUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback", err)
+			}
+			err = ValidateRollbackUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback", err)
+			}
+			return nil, NewRollbackUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "rollback", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildDrainRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "drain" endpoint
+func (c *Client) BuildDrainRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name string
+	)
+	{
+		p, ok := v.(*operators.DrainPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operators", "drain", "*operators.DrainPayload", v)
+		}
+		name = p.Name
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: DrainOperatorsPath(name)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "drain", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeDrainRequest returns an encoder for requests sent to the operators
+// drain server.
+func EncodeDrainRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.DrainPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "drain", "*operators.DrainPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		body := NewDrainRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("operators", "drain", err)
+		}
+		return nil
+	}
+}
+
+// DecodeDrainResponse returns a decoder for responses returned by the
+// operators drain endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeDrainResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeDrainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body DrainResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			res := NewDrainAppliedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body DrainBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body DrainUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body DrainForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body DrainNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body DrainConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body DrainTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body DrainUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "drain", err)
+			}
+			err = ValidateDrainUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "drain", err)
+			}
+			return nil, NewDrainUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "drain", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRecordsRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "records" endpoint
+func (c *Client) BuildRecordsRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RecordsOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "records", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRecordsRequest returns an encoder for requests sent to the operators
+// records server.
+func EncodeRecordsRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.RecordsPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "records", "*operators.RecordsPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		values := req.URL.Query()
+		if p.Kind != nil {
+			values.Add("kind", *p.Kind)
+		}
+		if p.Name != nil {
+			values.Add("name", *p.Name)
+		}
+		values.Add("revision", fmt.Sprintf("%v", p.Revision))
+		values.Add("variants", fmt.Sprintf("%v", p.Variants))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeRecordsResponse returns a decoder for responses returned by the
+// operators records endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeRecordsResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeRecordsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RecordsResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			res := NewRecordsHeldRecordsOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RecordsBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body RecordsUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body RecordsForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body RecordsNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body RecordsConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body RecordsTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body RecordsUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "records", err)
+			}
+			err = ValidateRecordsUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "records", err)
+			}
+			return nil, NewRecordsUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "records", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildHistoryRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "history" endpoint
+func (c *Client) BuildHistoryRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: HistoryOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "history", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeHistoryRequest returns an encoder for requests sent to the operators
+// history server.
+func EncodeHistoryRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.HistoryPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "history", "*operators.HistoryPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		values := req.URL.Query()
+		if p.Record != nil {
+			values.Add("record", *p.Record)
+		}
+		values.Add("before", fmt.Sprintf("%v", p.Before))
+		values.Add("limit", fmt.Sprintf("%v", p.Limit))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeHistoryResponse returns a decoder for responses returned by the
+// operators history endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeHistoryResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeHistoryResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body HistoryResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			res := NewHistoryAuditEntriesOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body HistoryBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body HistoryUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body HistoryForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body HistoryNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body HistoryConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body HistoryTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body HistoryUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "history", err)
+			}
+			err = ValidateHistoryUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "history", err)
+			}
+			return nil, NewHistoryUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "history", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildVerifyRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "verify" endpoint
+func (c *Client) BuildVerifyRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: VerifyOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "verify", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeVerifyRequest returns an encoder for requests sent to the operators
+// verify server.
+func EncodeVerifyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.VerifyPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "verify", "*operators.VerifyPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeVerifyResponse returns a decoder for responses returned by the
+// operators verify endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeVerifyResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeVerifyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body VerifyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			res := NewVerifyResultOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body VerifyBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body VerifyUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body VerifyForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body VerifyNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body VerifyConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body VerifyTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body VerifyUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "verify", err)
+			}
+			err = ValidateVerifyUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "verify", err)
+			}
+			return nil, NewVerifyUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "verify", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildExplainRequest instantiates a HTTP request object with method and path
 // set to call the "operators" service "explain" endpoint
 func (c *Client) BuildExplainRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -27,14 +1135,388 @@
 	{
 		p, ok := v.(*operators.ExplainPayload)
 		if !ok {
-			return nil, goahttp.ErrInvalidType("operators", "explain", "*operators.ExplainPayload", v)
+			return nil, goahttp.ErrInvalidType("operators", "explain", "*operators.ExplainPayload", v)
+		}
+		id = p.ID
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ExplainOperatorsPath(id)}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "explain", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeExplainRequest returns an encoder for requests sent to the operators
+// explain server.
+func EncodeExplainRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.ExplainPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "explain", "*operators.ExplainPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeExplainResponse returns a decoder for responses returned by the
+// operators explain endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeExplainResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeExplainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ExplainResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			res := NewExplainExplanationOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ExplainBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body ExplainUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body ExplainForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body ExplainNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body ExplainConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body ExplainTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body ExplainUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+			}
+			err = ValidateExplainUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "explain", err)
+			}
+			return nil, NewExplainUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "explain", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildWhyNotRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "why_not" endpoint
+func (c *Client) BuildWhyNotRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: WhyNotOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "why_not", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeWhyNotRequest returns an encoder for requests sent to the operators
+// why_not server.
+func EncodeWhyNotRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.WhyNotPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "why_not", "*operators.WhyNotPayload", v)
 		}
-		id = p.ID
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		values := req.URL.Query()
+		if p.Team != nil {
+			values.Add("team", *p.Team)
+		}
+		if p.Deployment != nil {
+			values.Add("deployment", *p.Deployment)
+		}
+		if p.Reason != nil {
+			values.Add("reason", *p.Reason)
+		}
+		if p.Since != nil {
+			values.Add("since", *p.Since)
+		}
+		if p.Until != nil {
+			values.Add("until", *p.Until)
+		}
+		values.Add("limit", fmt.Sprintf("%v", p.Limit))
+		req.URL.RawQuery = values.Encode()
+		return nil
 	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ExplainOperatorsPath(id)}
+}
+
+// DecodeWhyNotResponse returns a decoder for responses returned by the
+// operators why_not endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeWhyNotResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeWhyNotResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body WhyNotResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			res := NewWhyNotRefusalsOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body WhyNotBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body WhyNotUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body WhyNotForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body WhyNotNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body WhyNotConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body WhyNotTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body WhyNotUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "why_not", err)
+			}
+			err = ValidateWhyNotUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "why_not", err)
+			}
+			return nil, NewWhyNotUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "why_not", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildStatusRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "status" endpoint
+func (c *Client) BuildStatusRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StatusOperatorsPath()}
 	req, err := http.NewRequest("GET", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("operators", "explain", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("operators", "status", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -43,13 +1525,13 @@
 	return req, nil
 }
 
-// EncodeExplainRequest returns an encoder for requests sent to the operators
-// explain server.
-func EncodeExplainRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// EncodeStatusRequest returns an encoder for requests sent to the operators
+// status server.
+func EncodeStatusRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*operators.ExplainPayload)
+		p, ok := v.(*operators.StatusPayload)
 		if !ok {
-			return goahttp.ErrInvalidType("operators", "explain", "*operators.ExplainPayload", v)
+			return goahttp.ErrInvalidType("operators", "status", "*operators.StatusPayload", v)
 		}
 		{
 			head := p.Key
@@ -59,15 +1541,19 @@
 	}
 }
 
-// DecodeExplainResponse returns a decoder for responses returned by the
-// operators explain endpoint. restoreBody controls whether the response body
+// DecodeStatusResponse returns a decoder for responses returned by the
+// operators status endpoint. restoreBody controls whether the response body
 // should be restored after having been read.
-// DecodeExplainResponse may return the following errors:
+// DecodeStatusResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
 //   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
 //   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
 //   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
 //   - error: internal error
-func DecodeExplainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+func DecodeStatusResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -84,66 +1570,197 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body ExplainResponseBody
+				body StatusResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
 			}
-			err = ValidateExplainResponseBody(&body)
+			err = ValidateStatusResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("operators", "explain", err)
+				return nil, goahttp.ErrValidationError("operators", "status", err)
 			}
-			res := NewExplainExplanationOK(&body)
+			res := NewStatusFleetStatusOK(&body)
 			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body StatusBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
+			}
+			err = ValidateStatusBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "status", err)
+			}
+			return nil, NewStatusBadRequest(&body)
 		case http.StatusUnauthorized:
 			var (
-				body ExplainUnauthorizedResponseBody
+				body StatusUnauthorizedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
 			}
-			err = ValidateExplainUnauthorizedResponseBody(&body)
+			err = ValidateStatusUnauthorizedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("operators", "explain", err)
+				return nil, goahttp.ErrValidationError("operators", "status", err)
 			}
-			return nil, NewExplainUnauthorized(&body)
+			return nil, NewStatusUnauthorized(&body)
 		case http.StatusForbidden:
 			var (
-				body ExplainForbiddenResponseBody
+				body StatusForbiddenResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
 			}
-			err = ValidateExplainForbiddenResponseBody(&body)
+			err = ValidateStatusForbiddenResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("operators", "explain", err)
+				return nil, goahttp.ErrValidationError("operators", "status", err)
 			}
-			return nil, NewExplainForbidden(&body)
+			return nil, NewStatusForbidden(&body)
 		case http.StatusNotFound:
 			var (
-				body ExplainNotFoundResponseBody
+				body StatusNotFoundResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("operators", "explain", err)
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
 			}
-			err = ValidateExplainNotFoundResponseBody(&body)
+			err = ValidateStatusNotFoundResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("operators", "explain", err)
+				return nil, goahttp.ErrValidationError("operators", "status", err)
 			}
-			return nil, NewExplainNotFound(&body)
+			return nil, NewStatusNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body StatusConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
+			}
+			err = ValidateStatusConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "status", err)
+			}
+			return nil, NewStatusConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body StatusTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
+			}
+			err = ValidateStatusTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "status", err)
+			}
+			return nil, NewStatusTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body StatusUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "status", err)
+			}
+			err = ValidateStatusUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "status", err)
+			}
+			return nil, NewStatusUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("operators", "explain", resp.StatusCode, string(body))
+			return nil, goahttp.ErrInvalidResponse("operators", "status", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// marshalOperatorsRecordFileToRecordFileRequestBody builds a value of type
+// *RecordFileRequestBody from a value of type *operators.RecordFile.
+func marshalOperatorsRecordFileToRecordFileRequestBody(v *operators.RecordFile) *RecordFileRequestBody {
+	if v == nil {
+		return nil
+	}
+	res := &RecordFileRequestBody{
+		Name:    v.Name,
+		Content: v.Content,
+	}
+
+	return res
+}
+
+// marshalRecordFileRequestBodyToOperatorsRecordFile builds a value of type
+// *operators.RecordFile from a value of type *RecordFileRequestBody.
+func marshalRecordFileRequestBodyToOperatorsRecordFile(v *RecordFileRequestBody) *operators.RecordFile {
+	if v == nil {
+		return nil
+	}
+	res := &operators.RecordFile{
+		Name:    v.Name,
+		Content: v.Content,
+	}
+
+	return res
+}
+
+// unmarshalRecordChangeResponseBodyToOperatorsRecordChange builds a value of
+// type *operators.RecordChange from a value of type *RecordChangeResponseBody.
+func unmarshalRecordChangeResponseBodyToOperatorsRecordChange(v *RecordChangeResponseBody) *operators.RecordChange {
+	res := &operators.RecordChange{
+		Record: *v.Record,
+		Before: *v.Before,
+		After:  *v.After,
+	}
+
+	return res
+}
+
+// unmarshalHeldRecordResponseBodyToOperatorsHeldRecord builds a value of type
+// *operators.HeldRecord from a value of type *HeldRecordResponseBody.
+func unmarshalHeldRecordResponseBodyToOperatorsHeldRecord(v *HeldRecordResponseBody) *operators.HeldRecord {
+	res := &operators.HeldRecord{
+		Record:        *v.Record,
+		SchemaVersion: *v.SchemaVersion,
+		Document:      *v.Document,
+	}
+
+	return res
+}
+
+// unmarshalAuditEntryResponseBodyToOperatorsAuditEntry builds a value of type
+// *operators.AuditEntry from a value of type *AuditEntryResponseBody.
+func unmarshalAuditEntryResponseBodyToOperatorsAuditEntry(v *AuditEntryResponseBody) *operators.AuditEntry {
+	res := &operators.AuditEntry{
+		Revision: *v.Revision,
+		When:     *v.When,
+		Who:      *v.Who,
+		From:     *v.From,
+		Reason:   *v.Reason,
+		Digest:   *v.Digest,
+	}
+	res.Changes = make([]*operators.RecordChange, len(v.Changes))
+	for i, val := range v.Changes {
+		if val == nil {
+			res.Changes[i] = nil
+			continue
 		}
+		res.Changes[i] = unmarshalRecordChangeResponseBodyToOperatorsRecordChange(val)
 	}
+
+	return res
 }
 
 // unmarshalCandidateResponseBodyToOperatorsCandidate builds a value of type
@@ -155,6 +1772,8 @@
 	res := &operators.Candidate{
 		BackendServer: *v.BackendServer,
 		Cost:          *v.Cost,
+		Wait:          v.Wait,
+		CachedTokens:  v.CachedTokens,
 	}
 
 	return res
@@ -169,6 +1788,86 @@
 	res := &operators.Attempt{
 		BackendServer: *v.BackendServer,
 		Result:        *v.Result,
+		After:         v.After,
+		Reason:        v.Reason,
+		Ran:           v.Ran,
+	}
+
+	return res
+}
+
+// unmarshalExplanationResponseBodyToOperatorsExplanation builds a value of
+// type *operators.Explanation from a value of type *ExplanationResponseBody.
+func unmarshalExplanationResponseBodyToOperatorsExplanation(v *ExplanationResponseBody) *operators.Explanation {
+	res := &operators.Explanation{
+		RequestID:    *v.RequestID,
+		Summary:      *v.Summary,
+		Text:         *v.Text,
+		At:           *v.At,
+		Team:         *v.Team,
+		Deployment:   *v.Deployment,
+		Policy:       v.Policy,
+		Revision:     *v.Revision,
+		Outcome:      *v.Outcome,
+		Reason:       *v.Reason,
+		Ran:          *v.Ran,
+		Detail:       v.Detail,
+		PromptTokens: *v.PromptTokens,
+		CachedTokens: *v.CachedTokens,
+	}
+	if v.Candidates != nil {
+		res.Candidates = make([]*operators.Candidate, len(v.Candidates))
+		for i, val := range v.Candidates {
+			if val == nil {
+				res.Candidates[i] = nil
+				continue
+			}
+			res.Candidates[i] = unmarshalCandidateResponseBodyToOperatorsCandidate(val)
+		}
+	}
+	if v.Attempts != nil {
+		res.Attempts = make([]*operators.Attempt, len(v.Attempts))
+		for i, val := range v.Attempts {
+			if val == nil {
+				res.Attempts[i] = nil
+				continue
+			}
+			res.Attempts[i] = unmarshalAttemptResponseBodyToOperatorsAttempt(val)
+		}
+	}
+
+	return res
+}
+
+// unmarshalRouterStatusResponseBodyToOperatorsRouterStatus builds a value of
+// type *operators.RouterStatus from a value of type *RouterStatusResponseBody.
+func unmarshalRouterStatusResponseBodyToOperatorsRouterStatus(v *RouterStatusResponseBody) *operators.RouterStatus {
+	res := &operators.RouterStatus{
+		Name:             *v.Name,
+		AvailabilityZone: *v.AvailabilityZone,
+		Incarnation:      v.Incarnation,
+		Ready:            *v.Ready,
+		Revision:         *v.Revision,
+		Age:              v.Age,
+		Error:            v.Error,
+	}
+
+	return res
+}
+
+// unmarshalBackendServerStatusResponseBodyToOperatorsBackendServerStatus
+// builds a value of type *operators.BackendServerStatus from a value of type
+// *BackendServerStatusResponseBody.
+func unmarshalBackendServerStatusResponseBodyToOperatorsBackendServerStatus(v *BackendServerStatusResponseBody) *operators.BackendServerStatus {
+	res := &operators.BackendServerStatus{
+		Name:             *v.Name,
+		Deployment:       *v.Deployment,
+		AvailabilityZone: *v.AvailabilityZone,
+		State:            *v.State,
+		Running:          v.Running,
+		Queued:           v.Queued,
+		WeightsVersion:   v.WeightsVersion,
+		Revision:         v.Revision,
 	}
 
 	return res
