--- a/router/gen/http/operators/server/encode_decode.go
+++ b/router/gen/http/operators/server/encode_decode.go
@@ -10,7 +10,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	operators "amaranthreach.example/router/gen/operators"
@@ -18,31 +20,1374 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// EncodeApplyResponse returns an encoder for responses returned by the
+// operators apply endpoint.
+func EncodeApplyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.Applied)
+		enc := encoder(ctx, w)
+		body := NewApplyResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeApplyRequest returns a decoder for requests sent to the operators
+// apply endpoint.
+func DecodeApplyRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.ApplyPayload, error) {
+	return func(r *http.Request) (*operators.ApplyPayload, error) {
+		var payload *operators.ApplyPayload
+		var (
+			body ApplyRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateApplyRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			key string
+		)
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewApplyPayload(&body, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeApplyError returns an encoder for errors returned by the apply
+// operators endpoint.
+func EncodeApplyError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewApplyUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeRollbackResponse returns an encoder for responses returned by the
+// operators rollback endpoint.
+func EncodeRollbackResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.Applied)
+		enc := encoder(ctx, w)
+		body := NewRollbackResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRollbackRequest returns a decoder for requests sent to the operators
+// rollback endpoint.
+func DecodeRollbackRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.RollbackPayload, error) {
+	return func(r *http.Request) (*operators.RollbackPayload, error) {
+		var payload *operators.RollbackPayload
+		var (
+			body RollbackRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateRollbackRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			key string
+		)
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewRollbackPayload(&body, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeRollbackError returns an encoder for errors returned by the rollback
+// operators endpoint.
+func EncodeRollbackError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRollbackUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeDrainResponse returns an encoder for responses returned by the
+// operators drain endpoint.
+func EncodeDrainResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.Applied)
+		enc := encoder(ctx, w)
+		body := NewDrainResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeDrainRequest returns a decoder for requests sent to the operators
+// drain endpoint.
+func DecodeDrainRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.DrainPayload, error) {
+	return func(r *http.Request) (*operators.DrainPayload, error) {
+		var payload *operators.DrainPayload
+		var (
+			body DrainRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateDrainRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			name string
+			key  string
+
+			params = mux.Vars(r)
+		)
+		name = params["name"]
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewDrainPayload(&body, name, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeDrainError returns an encoder for errors returned by the drain
+// operators endpoint.
+func EncodeDrainError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeRecordsResponse returns an encoder for responses returned by the
+// operators records endpoint.
+func EncodeRecordsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.HeldRecords)
+		enc := encoder(ctx, w)
+		body := NewRecordsResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRecordsRequest returns a decoder for requests sent to the operators
+// records endpoint.
+func DecodeRecordsRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.RecordsPayload, error) {
+	return func(r *http.Request) (*operators.RecordsPayload, error) {
+		var payload *operators.RecordsPayload
+		var (
+			kind     *string
+			name     *string
+			revision uint64
+			variants bool
+			key      string
+			err      error
+		)
+		qp := r.URL.Query()
+		kindRaw := qp.Get("kind")
+		if kindRaw != "" {
+			kind = &kindRaw
+		}
+		nameRaw := qp.Get("name")
+		if nameRaw != "" {
+			name = &nameRaw
+		}
+		{
+			revisionRaw := qp.Get("revision")
+			if revisionRaw != "" {
+				v, err2 := strconv.ParseUint(revisionRaw, 10, 64)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("revision", revisionRaw, "unsigned integer"))
+				}
+				revision = v
+			}
+		}
+		{
+			variantsRaw := qp.Get("variants")
+			if variantsRaw != "" {
+				v, err2 := strconv.ParseBool(variantsRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("variants", variantsRaw, "boolean"))
+				}
+				variants = v
+			}
+		}
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewRecordsPayload(kind, name, revision, variants, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeRecordsError returns an encoder for errors returned by the records
+// operators endpoint.
+func EncodeRecordsError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRecordsUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeHistoryResponse returns an encoder for responses returned by the
+// operators history endpoint.
+func EncodeHistoryResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.AuditEntries)
+		enc := encoder(ctx, w)
+		body := NewHistoryResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeHistoryRequest returns a decoder for requests sent to the operators
+// history endpoint.
+func DecodeHistoryRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.HistoryPayload, error) {
+	return func(r *http.Request) (*operators.HistoryPayload, error) {
+		var payload *operators.HistoryPayload
+		var (
+			record *string
+			before uint64
+			limit  int
+			key    string
+			err    error
+		)
+		qp := r.URL.Query()
+		recordRaw := qp.Get("record")
+		if recordRaw != "" {
+			record = &recordRaw
+		}
+		{
+			beforeRaw := qp.Get("before")
+			if beforeRaw != "" {
+				v, err2 := strconv.ParseUint(beforeRaw, 10, 64)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("before", beforeRaw, "unsigned integer"))
+				}
+				before = v
+			}
+		}
+		{
+			limitRaw := qp.Get("limit")
+			if limitRaw == "" {
+				limit = 20
+			} else {
+				v, err2 := strconv.ParseInt(limitRaw, 10, strconv.IntSize)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("limit", limitRaw, "integer"))
+				}
+				limit = int(v)
+			}
+		}
+		if limit < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1, true))
+		}
+		if limit > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1000, false))
+		}
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewHistoryPayload(record, before, limit, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeHistoryError returns an encoder for errors returned by the history
+// operators endpoint.
+func EncodeHistoryError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeVerifyResponse returns an encoder for responses returned by the
+// operators verify endpoint.
+func EncodeVerifyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.VerifyResult)
+		enc := encoder(ctx, w)
+		body := NewVerifyResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeVerifyRequest returns a decoder for requests sent to the operators
+// verify endpoint.
+func DecodeVerifyRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.VerifyPayload, error) {
+	return func(r *http.Request) (*operators.VerifyPayload, error) {
+		var payload *operators.VerifyPayload
+		var (
+			key string
+			err error
+		)
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewVerifyPayload(key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeVerifyError returns an encoder for errors returned by the verify
+// operators endpoint.
+func EncodeVerifyError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewVerifyUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeExplainResponse returns an encoder for responses returned by the
 // operators explain endpoint.
 func EncodeExplainResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*operators.Explanation)
+		res, _ := v.(*operators.Explanation)
+		enc := encoder(ctx, w)
+		body := NewExplainResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeExplainRequest returns a decoder for requests sent to the operators
+// explain endpoint.
+func DecodeExplainRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.ExplainPayload, error) {
+	return func(r *http.Request) (*operators.ExplainPayload, error) {
+		var payload *operators.ExplainPayload
+		var (
+			id  string
+			key string
+			err error
+
+			params = mux.Vars(r)
+		)
+		id = params["id"]
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewExplainPayload(id, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeExplainError returns an encoder for errors returned by the explain
+// operators endpoint.
+func EncodeExplainError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeWhyNotResponse returns an encoder for responses returned by the
+// operators why_not endpoint.
+func EncodeWhyNotResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.Refusals)
 		enc := encoder(ctx, w)
-		body := NewExplainResponseBody(res)
+		body := NewWhyNotResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
 }
 
-// DecodeExplainRequest returns a decoder for requests sent to the operators
-// explain endpoint.
-func DecodeExplainRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.ExplainPayload, error) {
-	return func(r *http.Request) (*operators.ExplainPayload, error) {
-		var payload *operators.ExplainPayload
+// DecodeWhyNotRequest returns a decoder for requests sent to the operators
+// why_not endpoint.
+func DecodeWhyNotRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.WhyNotPayload, error) {
+	return func(r *http.Request) (*operators.WhyNotPayload, error) {
+		var payload *operators.WhyNotPayload
+		var (
+			team       *string
+			deployment *string
+			reason     *string
+			since      *string
+			until      *string
+			limit      int
+			key        string
+			err        error
+		)
+		qp := r.URL.Query()
+		teamRaw := qp.Get("team")
+		if teamRaw != "" {
+			team = &teamRaw
+		}
+		deploymentRaw := qp.Get("deployment")
+		if deploymentRaw != "" {
+			deployment = &deploymentRaw
+		}
+		reasonRaw := qp.Get("reason")
+		if reasonRaw != "" {
+			reason = &reasonRaw
+		}
+		sinceRaw := qp.Get("since")
+		if sinceRaw != "" {
+			since = &sinceRaw
+		}
+		untilRaw := qp.Get("until")
+		if untilRaw != "" {
+			until = &untilRaw
+		}
+		{
+			limitRaw := qp.Get("limit")
+			if limitRaw == "" {
+				limit = 20
+			} else {
+				v, err2 := strconv.ParseInt(limitRaw, 10, strconv.IntSize)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("limit", limitRaw, "integer"))
+				}
+				limit = int(v)
+			}
+		}
+		if limit < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1, true))
+		}
+		if limit > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1000, false))
+		}
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewWhyNotPayload(team, deployment, reason, since, until, limit, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeWhyNotError returns an encoder for errors returned by the why_not
+// operators endpoint.
+func EncodeWhyNotError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhyNotUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeStatusResponse returns an encoder for responses returned by the
+// operators status endpoint.
+func EncodeStatusResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.FleetStatus)
+		enc := encoder(ctx, w)
+		body := NewStatusResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeStatusRequest returns a decoder for requests sent to the operators
+// status endpoint.
+func DecodeStatusRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.StatusPayload, error) {
+	return func(r *http.Request) (*operators.StatusPayload, error) {
+		var payload *operators.StatusPayload
 		var (
-			id  string
 			key string
 			err error
-
-			params = mux.Vars(r)
 		)
-		id = params["id"]
 		key = r.Header.Get("Authorization")
 		if key == "" {
 			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
@@ -50,7 +1395,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewExplainPayload(id, key)
+		payload = NewStatusPayload(key)
 		if strings.Contains(payload.Key, " ") {
 			// Remove authorization scheme prefix (e.g. "Bearer")
 			cred := strings.SplitN(payload.Key, " ", 2)[1]
@@ -61,9 +1406,9 @@
 	}
 }
 
-// EncodeExplainError returns an encoder for errors returned by the explain
+// EncodeStatusError returns an encoder for errors returned by the status
 // operators endpoint.
-func EncodeExplainError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+func EncodeStatusError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
 	encodeError := goahttp.ErrorEncoder(encoder, formatter)
 	return func(ctx context.Context, w http.ResponseWriter, v error) error {
 		var en goa.GoaErrorNamer
@@ -71,6 +1416,19 @@
 			return encodeError(ctx, w, v)
 		}
 		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStatusBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
 		case "unauthorized":
 			var res *goa.ServiceError
 			errors.As(v, &res)
@@ -79,7 +1437,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewExplainUnauthorizedResponseBody(res)
+				body = NewStatusUnauthorizedResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -92,7 +1450,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewExplainForbiddenResponseBody(res)
+				body = NewStatusForbiddenResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusForbidden)
@@ -105,17 +1463,121 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewExplainNotFoundResponseBody(res)
+				body = NewStatusNotFoundResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStatusConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStatusTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStatusUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
 	}
 }
 
+// unmarshalRecordFileRequestBodyToOperatorsRecordFile builds a value of type
+// *operators.RecordFile from a value of type *RecordFileRequestBody.
+func unmarshalRecordFileRequestBodyToOperatorsRecordFile(v *RecordFileRequestBody) *operators.RecordFile {
+	if v == nil {
+		return nil
+	}
+	res := &operators.RecordFile{
+		Name:    *v.Name,
+		Content: *v.Content,
+	}
+
+	return res
+}
+
+// marshalOperatorsRecordChangeToRecordChangeResponseBody builds a value of
+// type *RecordChangeResponseBody from a value of type *operators.RecordChange.
+func marshalOperatorsRecordChangeToRecordChangeResponseBody(v *operators.RecordChange) *RecordChangeResponseBody {
+	res := &RecordChangeResponseBody{
+		Record: v.Record,
+		Before: v.Before,
+		After:  v.After,
+	}
+
+	return res
+}
+
+// marshalOperatorsHeldRecordToHeldRecordResponseBody builds a value of type
+// *HeldRecordResponseBody from a value of type *operators.HeldRecord.
+func marshalOperatorsHeldRecordToHeldRecordResponseBody(v *operators.HeldRecord) *HeldRecordResponseBody {
+	res := &HeldRecordResponseBody{
+		Record:        v.Record,
+		SchemaVersion: v.SchemaVersion,
+		Document:      v.Document,
+	}
+
+	return res
+}
+
+// marshalOperatorsAuditEntryToAuditEntryResponseBody builds a value of type
+// *AuditEntryResponseBody from a value of type *operators.AuditEntry.
+func marshalOperatorsAuditEntryToAuditEntryResponseBody(v *operators.AuditEntry) *AuditEntryResponseBody {
+	res := &AuditEntryResponseBody{
+		Revision: v.Revision,
+		When:     v.When,
+		Who:      v.Who,
+		From:     v.From,
+		Reason:   v.Reason,
+		Digest:   v.Digest,
+	}
+	if v.Changes != nil {
+		res.Changes = make([]*RecordChangeResponseBody, len(v.Changes))
+		for i, val := range v.Changes {
+			if val == nil {
+				res.Changes[i] = nil
+				continue
+			}
+			res.Changes[i] = marshalOperatorsRecordChangeToRecordChangeResponseBody(val)
+		}
+	} else {
+		res.Changes = []*RecordChangeResponseBody{}
+	}
+
+	return res
+}
+
 // marshalOperatorsCandidateToCandidateResponseBody builds a value of type
 // *CandidateResponseBody from a value of type *operators.Candidate.
 func marshalOperatorsCandidateToCandidateResponseBody(v *operators.Candidate) *CandidateResponseBody {
@@ -125,6 +1587,8 @@
 	res := &CandidateResponseBody{
 		BackendServer: v.BackendServer,
 		Cost:          v.Cost,
+		Wait:          v.Wait,
+		CachedTokens:  v.CachedTokens,
 	}
 
 	return res
@@ -139,6 +1603,86 @@
 	res := &AttemptResponseBody{
 		BackendServer: v.BackendServer,
 		Result:        v.Result,
+		After:         v.After,
+		Reason:        v.Reason,
+		Ran:           v.Ran,
+	}
+
+	return res
+}
+
+// marshalOperatorsExplanationToExplanationResponseBody builds a value of type
+// *ExplanationResponseBody from a value of type *operators.Explanation.
+func marshalOperatorsExplanationToExplanationResponseBody(v *operators.Explanation) *ExplanationResponseBody {
+	res := &ExplanationResponseBody{
+		RequestID:    v.RequestID,
+		Summary:      v.Summary,
+		Text:         v.Text,
+		At:           v.At,
+		Team:         v.Team,
+		Deployment:   v.Deployment,
+		Policy:       v.Policy,
+		Revision:     v.Revision,
+		Outcome:      v.Outcome,
+		Reason:       v.Reason,
+		Ran:          v.Ran,
+		Detail:       v.Detail,
+		PromptTokens: v.PromptTokens,
+		CachedTokens: v.CachedTokens,
+	}
+	if v.Candidates != nil {
+		res.Candidates = make([]*CandidateResponseBody, len(v.Candidates))
+		for i, val := range v.Candidates {
+			if val == nil {
+				res.Candidates[i] = nil
+				continue
+			}
+			res.Candidates[i] = marshalOperatorsCandidateToCandidateResponseBody(val)
+		}
+	}
+	if v.Attempts != nil {
+		res.Attempts = make([]*AttemptResponseBody, len(v.Attempts))
+		for i, val := range v.Attempts {
+			if val == nil {
+				res.Attempts[i] = nil
+				continue
+			}
+			res.Attempts[i] = marshalOperatorsAttemptToAttemptResponseBody(val)
+		}
+	}
+
+	return res
+}
+
+// marshalOperatorsRouterStatusToRouterStatusResponseBody builds a value of
+// type *RouterStatusResponseBody from a value of type *operators.RouterStatus.
+func marshalOperatorsRouterStatusToRouterStatusResponseBody(v *operators.RouterStatus) *RouterStatusResponseBody {
+	res := &RouterStatusResponseBody{
+		Name:             v.Name,
+		AvailabilityZone: v.AvailabilityZone,
+		Incarnation:      v.Incarnation,
+		Ready:            v.Ready,
+		Revision:         v.Revision,
+		Age:              v.Age,
+		Error:            v.Error,
+	}
+
+	return res
+}
+
+// marshalOperatorsBackendServerStatusToBackendServerStatusResponseBody builds
+// a value of type *BackendServerStatusResponseBody from a value of type
+// *operators.BackendServerStatus.
+func marshalOperatorsBackendServerStatusToBackendServerStatusResponseBody(v *operators.BackendServerStatus) *BackendServerStatusResponseBody {
+	res := &BackendServerStatusResponseBody{
+		Name:             v.Name,
+		Deployment:       v.Deployment,
+		AvailabilityZone: v.AvailabilityZone,
+		State:            v.State,
+		Running:          v.Running,
+		Queued:           v.Queued,
+		WeightsVersion:   v.WeightsVersion,
+		Revision:         v.Revision,
 	}
 
 	return res
--- a/router/gen/http/operators/server/paths.go
+++ b/router/gen/http/operators/server/paths.go
@@ -11,7 +11,47 @@
 	"fmt"
 )
 
+// ApplyOperatorsPath returns the URL path to the operators service apply HTTP endpoint.
+func ApplyOperatorsPath() string {
+	return "/v1/records"
+}
+
+// RollbackOperatorsPath returns the URL path to the operators service rollback HTTP endpoint.
+func RollbackOperatorsPath() string {
+	return "/v1/rollback"
+}
+
+// DrainOperatorsPath returns the URL path to the operators service drain HTTP endpoint.
+func DrainOperatorsPath(name string) string {
+	return fmt.Sprintf("/v1/backend-servers/%v/drain", name)
+}
+
+// RecordsOperatorsPath returns the URL path to the operators service records HTTP endpoint.
+func RecordsOperatorsPath() string {
+	return "/v1/records"
+}
+
+// HistoryOperatorsPath returns the URL path to the operators service history HTTP endpoint.
+func HistoryOperatorsPath() string {
+	return "/v1/history"
+}
+
+// VerifyOperatorsPath returns the URL path to the operators service verify HTTP endpoint.
+func VerifyOperatorsPath() string {
+	return "/v1/audit/verify"
+}
+
 // ExplainOperatorsPath returns the URL path to the operators service explain HTTP endpoint.
 func ExplainOperatorsPath(id string) string {
 	return fmt.Sprintf("/v1/explain/%v", id)
 }
+
+// WhyNotOperatorsPath returns the URL path to the operators service why_not HTTP endpoint.
+func WhyNotOperatorsPath() string {
+	return "/v1/refusals"
+}
+
+// StatusOperatorsPath returns the URL path to the operators service status HTTP endpoint.
+func StatusOperatorsPath() string {
+	return "/v1/status"
+}
--- a/router/gen/http/operators/server/server.go
+++ b/router/gen/http/operators/server/server.go
@@ -18,8 +18,16 @@
 
 // Server lists the operators service endpoint HTTP handlers.
 type Server struct {
-	Mounts  []*MountPoint
-	Explain http.Handler
+	Mounts   []*MountPoint
+	Apply    http.Handler
+	Rollback http.Handler
+	Drain    http.Handler
+	Records  http.Handler
+	History  http.Handler
+	Verify   http.Handler
+	Explain  http.Handler
+	WhyNot   http.Handler
+	Status   http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -49,9 +57,25 @@
 ) *Server {
 	return &Server{
 		Mounts: []*MountPoint{
+			{"Apply", "POST", "/v1/records"},
+			{"Rollback", "POST", "/v1/rollback"},
+			{"Drain", "POST", "/v1/backend-servers/{name}/drain"},
+			{"Records", "GET", "/v1/records"},
+			{"History", "GET", "/v1/history"},
+			{"Verify", "GET", "/v1/audit/verify"},
 			{"Explain", "GET", "/v1/explain/{id}"},
+			{"WhyNot", "GET", "/v1/refusals"},
+			{"Status", "GET", "/v1/status"},
 		},
-		Explain: NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
+		Apply:    NewApplyHandler(e.Apply, mux, decoder, encoder, errhandler, formatter),
+		Rollback: NewRollbackHandler(e.Rollback, mux, decoder, encoder, errhandler, formatter),
+		Drain:    NewDrainHandler(e.Drain, mux, decoder, encoder, errhandler, formatter),
+		Records:  NewRecordsHandler(e.Records, mux, decoder, encoder, errhandler, formatter),
+		History:  NewHistoryHandler(e.History, mux, decoder, encoder, errhandler, formatter),
+		Verify:   NewVerifyHandler(e.Verify, mux, decoder, encoder, errhandler, formatter),
+		Explain:  NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
+		WhyNot:   NewWhyNotHandler(e.WhyNot, mux, decoder, encoder, errhandler, formatter),
+		Status:   NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -60,7 +84,15 @@
 
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
+	s.Apply = m(s.Apply)
+	s.Rollback = m(s.Rollback)
+	s.Drain = m(s.Drain)
+	s.Records = m(s.Records)
+	s.History = m(s.History)
+	s.Verify = m(s.Verify)
 	s.Explain = m(s.Explain)
+	s.WhyNot = m(s.WhyNot)
+	s.Status = m(s.Status)
 }
 
 // MethodNames returns the methods served.
@@ -68,7 +100,15 @@
 
 // Mount configures the mux to serve the operators endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
+	MountApplyHandler(mux, h.Apply)
+	MountRollbackHandler(mux, h.Rollback)
+	MountDrainHandler(mux, h.Drain)
+	MountRecordsHandler(mux, h.Records)
+	MountHistoryHandler(mux, h.History)
+	MountVerifyHandler(mux, h.Verify)
 	MountExplainHandler(mux, h.Explain)
+	MountWhyNotHandler(mux, h.WhyNot)
+	MountStatusHandler(mux, h.Status)
 }
 
 // Mount configures the mux to serve the operators endpoints.
@@ -76,6 +116,324 @@
 	Mount(mux, s)
 }
 
+// MountApplyHandler configures the mux to serve the "operators" service
+// "apply" endpoint.
+func MountApplyHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/records", f)
+}
+
+// NewApplyHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "apply" endpoint.
+func NewApplyHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeApplyRequest(mux, decoder)
+		encodeResponse = EncodeApplyResponse(encoder)
+		encodeError    = EncodeApplyError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "apply")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountRollbackHandler configures the mux to serve the "operators" service
+// "rollback" endpoint.
+func MountRollbackHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/rollback", f)
+}
+
+// NewRollbackHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "rollback" endpoint.
+func NewRollbackHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRollbackRequest(mux, decoder)
+		encodeResponse = EncodeRollbackResponse(encoder)
+		encodeError    = EncodeRollbackError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "rollback")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountDrainHandler configures the mux to serve the "operators" service
+// "drain" endpoint.
+func MountDrainHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/backend-servers/{name}/drain", f)
+}
+
+// NewDrainHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "drain" endpoint.
+func NewDrainHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeDrainRequest(mux, decoder)
+		encodeResponse = EncodeDrainResponse(encoder)
+		encodeError    = EncodeDrainError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "drain")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountRecordsHandler configures the mux to serve the "operators" service
+// "records" endpoint.
+func MountRecordsHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/records", f)
+}
+
+// NewRecordsHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "records" endpoint.
+func NewRecordsHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRecordsRequest(mux, decoder)
+		encodeResponse = EncodeRecordsResponse(encoder)
+		encodeError    = EncodeRecordsError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "records")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountHistoryHandler configures the mux to serve the "operators" service
+// "history" endpoint.
+func MountHistoryHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/history", f)
+}
+
+// NewHistoryHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "history" endpoint.
+func NewHistoryHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeHistoryRequest(mux, decoder)
+		encodeResponse = EncodeHistoryResponse(encoder)
+		encodeError    = EncodeHistoryError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "history")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountVerifyHandler configures the mux to serve the "operators" service
+// "verify" endpoint.
+func MountVerifyHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/audit/verify", f)
+}
+
+// NewVerifyHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "verify" endpoint.
+func NewVerifyHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeVerifyRequest(mux, decoder)
+		encodeResponse = EncodeVerifyResponse(encoder)
+		encodeError    = EncodeVerifyError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "verify")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountExplainHandler configures the mux to serve the "operators" service
 // "explain" endpoint.
 func MountExplainHandler(mux goahttp.Muxer, h http.Handler) {
@@ -128,3 +486,109 @@
 		}
 	})
 }
+
+// MountWhyNotHandler configures the mux to serve the "operators" service
+// "why_not" endpoint.
+func MountWhyNotHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/refusals", f)
+}
+
+// NewWhyNotHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "why_not" endpoint.
+func NewWhyNotHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeWhyNotRequest(mux, decoder)
+		encodeResponse = EncodeWhyNotResponse(encoder)
+		encodeError    = EncodeWhyNotError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "why_not")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountStatusHandler configures the mux to serve the "operators" service
+// "status" endpoint.
+func MountStatusHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/status", f)
+}
+
+// NewStatusHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "status" endpoint.
+func NewStatusHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeStatusRequest(mux, decoder)
+		encodeResponse = EncodeStatusResponse(encoder)
+		encodeError    = EncodeStatusError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "status")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
--- a/router/gen/http/operators/server/types.go
+++ b/router/gen/http/operators/server/types.go
@@ -8,32 +8,161 @@
 package server
 
 import (
+	"unicode/utf8"
+
 	operators "amaranthreach.example/router/gen/operators"
 	goa "goa.design/goa/v3/pkg"
 )
 
+// ApplyRequestBody is the type of the "operators" service "apply" endpoint
+// HTTP request body.
+type ApplyRequestBody struct {
+	// Who makes the change.
+	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
+	// Why.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Identifies the change, so that it is applied once.
+	Token *string `form:"token,omitempty" json:"token,omitempty" xml:"token,omitempty"`
+	// Revision that the change was made on; 0 to write over what stands.
+	Base *uint64 `form:"base,omitempty" json:"base,omitempty" xml:"base,omitempty"`
+	// Check only.
+	DryRun *bool                    `form:"dry_run,omitempty" json:"dry_run,omitempty" xml:"dry_run,omitempty"`
+	Files  []*RecordFileRequestBody `form:"files,omitempty" json:"files,omitempty" xml:"files,omitempty"`
+	// Kinds and names of records.
+	Delete []string `form:"delete,omitempty" json:"delete,omitempty" xml:"delete,omitempty"`
+}
+
+// RollbackRequestBody is the type of the "operators" service "rollback"
+// endpoint HTTP request body.
+type RollbackRequestBody struct {
+	// Who makes the change.
+	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
+	// Why.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Identifies the change, so that it is applied once.
+	Token *string `form:"token,omitempty" json:"token,omitempty" xml:"token,omitempty"`
+	// Revision that the change was made on; 0 to write over what stands.
+	Base *uint64 `form:"base,omitempty" json:"base,omitempty" xml:"base,omitempty"`
+	// Check only.
+	DryRun   *bool   `form:"dry_run,omitempty" json:"dry_run,omitempty" xml:"dry_run,omitempty"`
+	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+}
+
+// DrainRequestBody is the type of the "operators" service "drain" endpoint
+// HTTP request body.
+type DrainRequestBody struct {
+	// Who makes the change.
+	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
+	// Why.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Identifies the change, so that it is applied once.
+	Token *string `form:"token,omitempty" json:"token,omitempty" xml:"token,omitempty"`
+	// Revision that the change was made on; 0 to write over what stands.
+	Base *uint64 `form:"base,omitempty" json:"base,omitempty" xml:"base,omitempty"`
+	// Check only.
+	DryRun *bool `form:"dry_run,omitempty" json:"dry_run,omitempty" xml:"dry_run,omitempty"`
+	// Let it take work again.
+	Undo *bool `form:"undo,omitempty" json:"undo,omitempty" xml:"undo,omitempty"`
+}
+
+// ApplyResponseBody is the type of the "operators" service "apply" endpoint
+// HTTP response body.
+type ApplyResponseBody struct {
+	// Revision that holds the change; the current one when nothing changed or for
+	// a dry run.
+	Revision uint64                      `form:"revision" json:"revision" xml:"revision"`
+	Changes  []*RecordChangeResponseBody `form:"changes" json:"changes" xml:"changes"`
+}
+
+// RollbackResponseBody is the type of the "operators" service "rollback"
+// endpoint HTTP response body.
+type RollbackResponseBody struct {
+	// Revision that holds the change; the current one when nothing changed or for
+	// a dry run.
+	Revision uint64                      `form:"revision" json:"revision" xml:"revision"`
+	Changes  []*RecordChangeResponseBody `form:"changes" json:"changes" xml:"changes"`
+}
+
+// DrainResponseBody is the type of the "operators" service "drain" endpoint
+// HTTP response body.
+type DrainResponseBody struct {
+	// Revision that holds the change; the current one when nothing changed or for
+	// a dry run.
+	Revision uint64                      `form:"revision" json:"revision" xml:"revision"`
+	Changes  []*RecordChangeResponseBody `form:"changes" json:"changes" xml:"changes"`
+}
+
+// RecordsResponseBody is the type of the "operators" service "records"
+// endpoint HTTP response body.
+type RecordsResponseBody struct {
+	Revision uint64                    `form:"revision" json:"revision" xml:"revision"`
+	Records  []*HeldRecordResponseBody `form:"records" json:"records" xml:"records"`
+}
+
+// HistoryResponseBody is the type of the "operators" service "history"
+// endpoint HTTP response body.
+type HistoryResponseBody struct {
+	// In the order of their revisions.
+	Entries []*AuditEntryResponseBody `form:"entries" json:"entries" xml:"entries"`
+	// The newest revision.
+	Newest uint64 `form:"newest" json:"newest" xml:"newest"`
+}
+
+// VerifyResponseBody is the type of the "operators" service "verify" endpoint
+// HTTP response body.
+type VerifyResponseBody struct {
+	Entries int `form:"entries" json:"entries" xml:"entries"`
+}
+
 // ExplainResponseBody is the type of the "operators" service "explain"
 // endpoint HTTP response body.
 type ExplainResponseBody struct {
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 	// What happened, in plain words.
-	Summary    string `form:"summary" json:"summary" xml:"summary"`
-	Team       string `form:"team" json:"team" xml:"team"`
-	Deployment string `form:"deployment" json:"deployment" xml:"deployment"`
+	Summary string `form:"summary" json:"summary" xml:"summary"`
+	// The summary and what the decision was made from.
+	Text string `form:"text" json:"text" xml:"text"`
+	// When the request came.
+	At         string  `form:"at" json:"at" xml:"at"`
+	Team       string  `form:"team" json:"team" xml:"team"`
+	Deployment string  `form:"deployment" json:"deployment" xml:"deployment"`
+	Policy     *string `form:"policy,omitempty" json:"policy,omitempty" xml:"policy,omitempty"`
 	// Revision of the configuration in force.
 	Revision     uint64                   `form:"revision" json:"revision" xml:"revision"`
 	Outcome      string                   `form:"outcome" json:"outcome" xml:"outcome"`
 	Reason       string                   `form:"reason" json:"reason" xml:"reason"`
 	Ran          string                   `form:"ran" json:"ran" xml:"ran"`
+	Detail       *string                  `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	PromptTokens uint32                   `form:"prompt_tokens" json:"prompt_tokens" xml:"prompt_tokens"`
 	CachedTokens uint32                   `form:"cached_tokens" json:"cached_tokens" xml:"cached_tokens"`
 	Candidates   []*CandidateResponseBody `form:"candidates,omitempty" json:"candidates,omitempty" xml:"candidates,omitempty"`
 	Attempts     []*AttemptResponseBody   `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
 }
 
-// ExplainUnauthorizedResponseBody is the type of the "operators" service
-// "explain" endpoint HTTP response body for the "unauthorized" error.
-type ExplainUnauthorizedResponseBody struct {
+// WhyNotResponseBody is the type of the "operators" service "why_not" endpoint
+// HTTP response body.
+type WhyNotResponseBody struct {
+	// The newest first.
+	Refusals []*ExplanationResponseBody `form:"refusals" json:"refusals" xml:"refusals"`
+	// False when there may be more.
+	Complete bool `form:"complete" json:"complete" xml:"complete"`
+}
+
+// StatusResponseBody is the type of the "operators" service "status" endpoint
+// HTTP response body.
+type StatusResponseBody struct {
+	Revision       uint64                             `form:"revision" json:"revision" xml:"revision"`
+	Routers        []*RouterStatusResponseBody        `form:"routers" json:"routers" xml:"routers"`
+	BackendServers []*BackendServerStatusResponseBody `form:"backend_servers" json:"backend_servers" xml:"backend_servers"`
+	// Decisions not yet in the object store.
+	ExplainPending int `form:"explain_pending" json:"explain_pending" xml:"explain_pending"`
+	// Decisions dropped because the object store did not take them.
+	ExplainDropped uint64 `form:"explain_dropped" json:"explain_dropped" xml:"explain_dropped"`
+}
+
+// ApplyBadRequestResponseBody is the type of the "operators" service "apply"
+// endpoint HTTP response body for the "bad_request" error.
+type ApplyBadRequestResponseBody struct {
 	// Name is the name of this class of errors.
 	Name string `form:"name" json:"name" xml:"name"`
 	// ID is a unique identifier for this particular occurrence of the problem.
@@ -49,9 +178,9 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// ExplainForbiddenResponseBody is the type of the "operators" service
-// "explain" endpoint HTTP response body for the "forbidden" error.
-type ExplainForbiddenResponseBody struct {
+// ApplyUnauthorizedResponseBody is the type of the "operators" service "apply"
+// endpoint HTTP response body for the "unauthorized" error.
+type ApplyUnauthorizedResponseBody struct {
 	// Name is the name of this class of errors.
 	Name string `form:"name" json:"name" xml:"name"`
 	// ID is a unique identifier for this particular occurrence of the problem.
@@ -67,9 +196,27 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// ExplainNotFoundResponseBody is the type of the "operators" service "explain"
+// ApplyForbiddenResponseBody is the type of the "operators" service "apply"
+// endpoint HTTP response body for the "forbidden" error.
+type ApplyForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ApplyNotFoundResponseBody is the type of the "operators" service "apply"
 // endpoint HTTP response body for the "not_found" error.
-type ExplainNotFoundResponseBody struct {
+type ApplyNotFoundResponseBody struct {
 	// Name is the name of this class of errors.
 	Name string `form:"name" json:"name" xml:"name"`
 	// ID is a unique identifier for this particular occurrence of the problem.
@@ -85,104 +232,2567 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// CandidateResponseBody is used to define fields on response body types.
-type CandidateResponseBody struct {
-	BackendServer string `form:"backend_server" json:"backend_server" xml:"backend_server"`
-	// Estimated cost as a duration.
-	Cost string `form:"cost" json:"cost" xml:"cost"`
+// ApplyConflictResponseBody is the type of the "operators" service "apply"
+// endpoint HTTP response body for the "conflict" error.
+type ApplyConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// AttemptResponseBody is used to define fields on response body types.
-type AttemptResponseBody struct {
-	BackendServer string `form:"backend_server" json:"backend_server" xml:"backend_server"`
-	Result        string `form:"result" json:"result" xml:"result"`
+// ApplyTamperedResponseBody is the type of the "operators" service "apply"
+// endpoint HTTP response body for the "tampered" error.
+type ApplyTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// NewExplainResponseBody builds the HTTP response body from the result of the
-// "explain" endpoint of the "operators" service.
-func NewExplainResponseBody(res *operators.Explanation) *ExplainResponseBody {
-	body := &ExplainResponseBody{
-		RequestID:    res.RequestID,
-		Summary:      res.Summary,
-		Team:         res.Team,
-		Deployment:   res.Deployment,
-		Revision:     res.Revision,
-		Outcome:      res.Outcome,
-		Reason:       res.Reason,
-		Ran:          res.Ran,
-		PromptTokens: res.PromptTokens,
-		CachedTokens: res.CachedTokens,
-	}
-	if res.Candidates != nil {
-		body.Candidates = make([]*CandidateResponseBody, len(res.Candidates))
-		for i, val := range res.Candidates {
-			if val == nil {
-				body.Candidates[i] = nil
-				continue
-			}
-			body.Candidates[i] = marshalOperatorsCandidateToCandidateResponseBody(val)
-		}
-	}
-	if res.Attempts != nil {
-		body.Attempts = make([]*AttemptResponseBody, len(res.Attempts))
-		for i, val := range res.Attempts {
-			if val == nil {
-				body.Attempts[i] = nil
-				continue
-			}
-			body.Attempts[i] = marshalOperatorsAttemptToAttemptResponseBody(val)
-		}
-	}
-	return body
+// ApplyUnavailableResponseBody is the type of the "operators" service "apply"
+// endpoint HTTP response body for the "unavailable" error.
+type ApplyUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// NewExplainUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "explain" endpoint of the "operators" service.
-func NewExplainUnauthorizedResponseBody(res *goa.ServiceError) *ExplainUnauthorizedResponseBody {
-	body := &ExplainUnauthorizedResponseBody{
-		Name:      res.Name,
-		ID:        res.ID,
-		Message:   res.Message,
-		Temporary: res.Temporary,
-		Timeout:   res.Timeout,
-		Fault:     res.Fault,
-	}
-	return body
+// RollbackBadRequestResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "bad_request" error.
+type RollbackBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// NewExplainForbiddenResponseBody builds the HTTP response body from the
-// result of the "explain" endpoint of the "operators" service.
-func NewExplainForbiddenResponseBody(res *goa.ServiceError) *ExplainForbiddenResponseBody {
-	body := &ExplainForbiddenResponseBody{
-		Name:      res.Name,
-		ID:        res.ID,
-		Message:   res.Message,
-		Temporary: res.Temporary,
-		Timeout:   res.Timeout,
-		Fault:     res.Fault,
-	}
-	return body
+// RollbackUnauthorizedResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "unauthorized" error.
+type RollbackUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// NewExplainNotFoundResponseBody builds the HTTP response body from the result
-// of the "explain" endpoint of the "operators" service.
-func NewExplainNotFoundResponseBody(res *goa.ServiceError) *ExplainNotFoundResponseBody {
-	body := &ExplainNotFoundResponseBody{
-		Name:      res.Name,
-		ID:        res.ID,
-		Message:   res.Message,
-		Temporary: res.Temporary,
-		Timeout:   res.Timeout,
-		Fault:     res.Fault,
-	}
-	return body
+// RollbackForbiddenResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "forbidden" error.
+type RollbackForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
-// NewExplainPayload builds a operators service explain endpoint payload.
-func NewExplainPayload(id string, key string) *operators.ExplainPayload {
-	v := &operators.ExplainPayload{}
-	v.ID = id
-	v.Key = key
+// RollbackNotFoundResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "not_found" error.
+type RollbackNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
 
-	return v
+// RollbackConflictResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "conflict" error.
+type RollbackConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RollbackTamperedResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "tampered" error.
+type RollbackTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RollbackUnavailableResponseBody is the type of the "operators" service
+// "rollback" endpoint HTTP response body for the "unavailable" error.
+type RollbackUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainBadRequestResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "bad_request" error.
+type DrainBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainUnauthorizedResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "unauthorized" error.
+type DrainUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainForbiddenResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "forbidden" error.
+type DrainForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainNotFoundResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "not_found" error.
+type DrainNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainConflictResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "conflict" error.
+type DrainConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainTamperedResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "tampered" error.
+type DrainTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// DrainUnavailableResponseBody is the type of the "operators" service "drain"
+// endpoint HTTP response body for the "unavailable" error.
+type DrainUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsBadRequestResponseBody is the type of the "operators" service
+// "records" endpoint HTTP response body for the "bad_request" error.
+type RecordsBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsUnauthorizedResponseBody is the type of the "operators" service
+// "records" endpoint HTTP response body for the "unauthorized" error.
+type RecordsUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsForbiddenResponseBody is the type of the "operators" service
+// "records" endpoint HTTP response body for the "forbidden" error.
+type RecordsForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsNotFoundResponseBody is the type of the "operators" service "records"
+// endpoint HTTP response body for the "not_found" error.
+type RecordsNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsConflictResponseBody is the type of the "operators" service "records"
+// endpoint HTTP response body for the "conflict" error.
+type RecordsConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsTamperedResponseBody is the type of the "operators" service "records"
+// endpoint HTTP response body for the "tampered" error.
+type RecordsTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordsUnavailableResponseBody is the type of the "operators" service
+// "records" endpoint HTTP response body for the "unavailable" error.
+type RecordsUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryBadRequestResponseBody is the type of the "operators" service
+// "history" endpoint HTTP response body for the "bad_request" error.
+type HistoryBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryUnauthorizedResponseBody is the type of the "operators" service
+// "history" endpoint HTTP response body for the "unauthorized" error.
+type HistoryUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryForbiddenResponseBody is the type of the "operators" service
+// "history" endpoint HTTP response body for the "forbidden" error.
+type HistoryForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryNotFoundResponseBody is the type of the "operators" service "history"
+// endpoint HTTP response body for the "not_found" error.
+type HistoryNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryConflictResponseBody is the type of the "operators" service "history"
+// endpoint HTTP response body for the "conflict" error.
+type HistoryConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryTamperedResponseBody is the type of the "operators" service "history"
+// endpoint HTTP response body for the "tampered" error.
+type HistoryTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// HistoryUnavailableResponseBody is the type of the "operators" service
+// "history" endpoint HTTP response body for the "unavailable" error.
+type HistoryUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyBadRequestResponseBody is the type of the "operators" service "verify"
+// endpoint HTTP response body for the "bad_request" error.
+type VerifyBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyUnauthorizedResponseBody is the type of the "operators" service
+// "verify" endpoint HTTP response body for the "unauthorized" error.
+type VerifyUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyForbiddenResponseBody is the type of the "operators" service "verify"
+// endpoint HTTP response body for the "forbidden" error.
+type VerifyForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyNotFoundResponseBody is the type of the "operators" service "verify"
+// endpoint HTTP response body for the "not_found" error.
+type VerifyNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyConflictResponseBody is the type of the "operators" service "verify"
+// endpoint HTTP response body for the "conflict" error.
+type VerifyConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyTamperedResponseBody is the type of the "operators" service "verify"
+// endpoint HTTP response body for the "tampered" error.
+type VerifyTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// VerifyUnavailableResponseBody is the type of the "operators" service
+// "verify" endpoint HTTP response body for the "unavailable" error.
+type VerifyUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainBadRequestResponseBody is the type of the "operators" service
+// "explain" endpoint HTTP response body for the "bad_request" error.
+type ExplainBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainUnauthorizedResponseBody is the type of the "operators" service
+// "explain" endpoint HTTP response body for the "unauthorized" error.
+type ExplainUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainForbiddenResponseBody is the type of the "operators" service
+// "explain" endpoint HTTP response body for the "forbidden" error.
+type ExplainForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainNotFoundResponseBody is the type of the "operators" service "explain"
+// endpoint HTTP response body for the "not_found" error.
+type ExplainNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainConflictResponseBody is the type of the "operators" service "explain"
+// endpoint HTTP response body for the "conflict" error.
+type ExplainConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainTamperedResponseBody is the type of the "operators" service "explain"
+// endpoint HTTP response body for the "tampered" error.
+type ExplainTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ExplainUnavailableResponseBody is the type of the "operators" service
+// "explain" endpoint HTTP response body for the "unavailable" error.
+type ExplainUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotBadRequestResponseBody is the type of the "operators" service
+// "why_not" endpoint HTTP response body for the "bad_request" error.
+type WhyNotBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotUnauthorizedResponseBody is the type of the "operators" service
+// "why_not" endpoint HTTP response body for the "unauthorized" error.
+type WhyNotUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotForbiddenResponseBody is the type of the "operators" service "why_not"
+// endpoint HTTP response body for the "forbidden" error.
+type WhyNotForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotNotFoundResponseBody is the type of the "operators" service "why_not"
+// endpoint HTTP response body for the "not_found" error.
+type WhyNotNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotConflictResponseBody is the type of the "operators" service "why_not"
+// endpoint HTTP response body for the "conflict" error.
+type WhyNotConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotTamperedResponseBody is the type of the "operators" service "why_not"
+// endpoint HTTP response body for the "tampered" error.
+type WhyNotTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhyNotUnavailableResponseBody is the type of the "operators" service
+// "why_not" endpoint HTTP response body for the "unavailable" error.
+type WhyNotUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusBadRequestResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "bad_request" error.
+type StatusBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusUnauthorizedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "unauthorized" error.
+type StatusUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusForbiddenResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "forbidden" error.
+type StatusForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusNotFoundResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_found" error.
+type StatusNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusConflictResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "conflict" error.
+type StatusConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusTamperedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "tampered" error.
+type StatusTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// StatusUnavailableResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "unavailable" error.
+type StatusUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// RecordChangeResponseBody is used to define fields on response body types.
+type RecordChangeResponseBody struct {
+	// Kind and name.
+	Record string `form:"record" json:"record" xml:"record"`
+	// YAML documents that stood there; empty for a new record.
+	Before string `form:"before" json:"before" xml:"before"`
+	// YAML documents that stand there; empty for a deleted record.
+	After string `form:"after" json:"after" xml:"after"`
+}
+
+// HeldRecordResponseBody is used to define fields on response body types.
+type HeldRecordResponseBody struct {
+	// Kind and name.
+	Record        string `form:"record" json:"record" xml:"record"`
+	SchemaVersion int    `form:"schema_version" json:"schema_version" xml:"schema_version"`
+	// The record as YAML.
+	Document string `form:"document" json:"document" xml:"document"`
+}
+
+// AuditEntryResponseBody is used to define fields on response body types.
+type AuditEntryResponseBody struct {
+	Revision uint64 `form:"revision" json:"revision" xml:"revision"`
+	When     string `form:"when" json:"when" xml:"when"`
+	Who      string `form:"who" json:"who" xml:"who"`
+	// Address that the change came from.
+	From    string                      `form:"from" json:"from" xml:"from"`
+	Reason  string                      `form:"reason" json:"reason" xml:"reason"`
+	Changes []*RecordChangeResponseBody `form:"changes" json:"changes" xml:"changes"`
+	Digest  string                      `form:"digest" json:"digest" xml:"digest"`
+}
+
+// CandidateResponseBody is used to define fields on response body types.
+type CandidateResponseBody struct {
+	BackendServer string `form:"backend_server" json:"backend_server" xml:"backend_server"`
+	// Estimated cost as a duration.
+	Cost string `form:"cost" json:"cost" xml:"cost"`
+	// Part of the cost that is waiting.
+	Wait         *string `form:"wait,omitempty" json:"wait,omitempty" xml:"wait,omitempty"`
+	CachedTokens *uint32 `form:"cached_tokens,omitempty" json:"cached_tokens,omitempty" xml:"cached_tokens,omitempty"`
+}
+
+// AttemptResponseBody is used to define fields on response body types.
+type AttemptResponseBody struct {
+	BackendServer string `form:"backend_server" json:"backend_server" xml:"backend_server"`
+	Result        string `form:"result" json:"result" xml:"result"`
+	// Time since the request came.
+	After  *string `form:"after,omitempty" json:"after,omitempty" xml:"after,omitempty"`
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	Ran    *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+}
+
+// ExplanationResponseBody is used to define fields on response body types.
+type ExplanationResponseBody struct {
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+	// What happened, in plain words.
+	Summary string `form:"summary" json:"summary" xml:"summary"`
+	// The summary and what the decision was made from.
+	Text string `form:"text" json:"text" xml:"text"`
+	// When the request came.
+	At         string  `form:"at" json:"at" xml:"at"`
+	Team       string  `form:"team" json:"team" xml:"team"`
+	Deployment string  `form:"deployment" json:"deployment" xml:"deployment"`
+	Policy     *string `form:"policy,omitempty" json:"policy,omitempty" xml:"policy,omitempty"`
+	// Revision of the configuration in force.
+	Revision     uint64                   `form:"revision" json:"revision" xml:"revision"`
+	Outcome      string                   `form:"outcome" json:"outcome" xml:"outcome"`
+	Reason       string                   `form:"reason" json:"reason" xml:"reason"`
+	Ran          string                   `form:"ran" json:"ran" xml:"ran"`
+	Detail       *string                  `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	PromptTokens uint32                   `form:"prompt_tokens" json:"prompt_tokens" xml:"prompt_tokens"`
+	CachedTokens uint32                   `form:"cached_tokens" json:"cached_tokens" xml:"cached_tokens"`
+	Candidates   []*CandidateResponseBody `form:"candidates,omitempty" json:"candidates,omitempty" xml:"candidates,omitempty"`
+	Attempts     []*AttemptResponseBody   `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
+}
+
+// RouterStatusResponseBody is used to define fields on response body types.
+type RouterStatusResponseBody struct {
+	Name             string  `form:"name" json:"name" xml:"name"`
+	AvailabilityZone string  `form:"availability_zone" json:"availability_zone" xml:"availability_zone"`
+	Incarnation      *string `form:"incarnation,omitempty" json:"incarnation,omitempty" xml:"incarnation,omitempty"`
+	Ready            bool    `form:"ready" json:"ready" xml:"ready"`
+	Revision         uint64  `form:"revision" json:"revision" xml:"revision"`
+	// Time since the revision was known to be the newest.
+	Age *string `form:"age,omitempty" json:"age,omitempty" xml:"age,omitempty"`
+	// Why the router did not answer.
+	Error *string `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// BackendServerStatusResponseBody is used to define fields on response body
+// types.
+type BackendServerStatusResponseBody struct {
+	Name             string  `form:"name" json:"name" xml:"name"`
+	Deployment       string  `form:"deployment" json:"deployment" xml:"deployment"`
+	AvailabilityZone string  `form:"availability_zone" json:"availability_zone" xml:"availability_zone"`
+	State            string  `form:"state" json:"state" xml:"state"`
+	Running          *uint32 `form:"running,omitempty" json:"running,omitempty" xml:"running,omitempty"`
+	Queued           *uint32 `form:"queued,omitempty" json:"queued,omitempty" xml:"queued,omitempty"`
+	WeightsVersion   *string `form:"weights_version,omitempty" json:"weights_version,omitempty" xml:"weights_version,omitempty"`
+	// Highest revision that its sidecar has seen.
+	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+}
+
+// RecordFileRequestBody is used to define fields on request body types.
+type RecordFileRequestBody struct {
+	// Name of the file, for messages.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// YAML documents.
+	Content *string `form:"content,omitempty" json:"content,omitempty" xml:"content,omitempty"`
+}
+
+// NewApplyResponseBody builds the HTTP response body from the result of the
+// "apply" endpoint of the "operators" service.
+func NewApplyResponseBody(res *operators.Applied) *ApplyResponseBody {
+	body := &ApplyResponseBody{
+		Revision: res.Revision,
+	}
+	if res.Changes != nil {
+		body.Changes = make([]*RecordChangeResponseBody, len(res.Changes))
+		for i, val := range res.Changes {
+			if val == nil {
+				body.Changes[i] = nil
+				continue
+			}
+			body.Changes[i] = marshalOperatorsRecordChangeToRecordChangeResponseBody(val)
+		}
+	} else {
+		body.Changes = []*RecordChangeResponseBody{}
+	}
+	return body
+}
+
+// NewRollbackResponseBody builds the HTTP response body from the result of the
+// "rollback" endpoint of the "operators" service.
+func NewRollbackResponseBody(res *operators.Applied) *RollbackResponseBody {
+	body := &RollbackResponseBody{
+		Revision: res.Revision,
+	}
+	if res.Changes != nil {
+		body.Changes = make([]*RecordChangeResponseBody, len(res.Changes))
+		for i, val := range res.Changes {
+			if val == nil {
+				body.Changes[i] = nil
+				continue
+			}
+			body.Changes[i] = marshalOperatorsRecordChangeToRecordChangeResponseBody(val)
+		}
+	} else {
+		body.Changes = []*RecordChangeResponseBody{}
+	}
+	return body
+}
+
+// NewDrainResponseBody builds the HTTP response body from the result of the
+// "drain" endpoint of the "operators" service.
+func NewDrainResponseBody(res *operators.Applied) *DrainResponseBody {
+	body := &DrainResponseBody{
+		Revision: res.Revision,
+	}
+	if res.Changes != nil {
+		body.Changes = make([]*RecordChangeResponseBody, len(res.Changes))
+		for i, val := range res.Changes {
+			if val == nil {
+				body.Changes[i] = nil
+				continue
+			}
+			body.Changes[i] = marshalOperatorsRecordChangeToRecordChangeResponseBody(val)
+		}
+	} else {
+		body.Changes = []*RecordChangeResponseBody{}
+	}
+	return body
+}
+
+// NewRecordsResponseBody builds the HTTP response body from the result of the
+// "records" endpoint of the "operators" service.
+func NewRecordsResponseBody(res *operators.HeldRecords) *RecordsResponseBody {
+	body := &RecordsResponseBody{
+		Revision: res.Revision,
+	}
+	if res.Records != nil {
+		body.Records = make([]*HeldRecordResponseBody, len(res.Records))
+		for i, val := range res.Records {
+			if val == nil {
+				body.Records[i] = nil
+				continue
+			}
+			body.Records[i] = marshalOperatorsHeldRecordToHeldRecordResponseBody(val)
+		}
+	} else {
+		body.Records = []*HeldRecordResponseBody{}
+	}
+	return body
+}
+
+// NewHistoryResponseBody builds the HTTP response body from the result of the
+// "history" endpoint of the "operators" service.
+func NewHistoryResponseBody(res *operators.AuditEntries) *HistoryResponseBody {
+	body := &HistoryResponseBody{
+		Newest: res.Newest,
+	}
+	if res.Entries != nil {
+		body.Entries = make([]*AuditEntryResponseBody, len(res.Entries))
+		for i, val := range res.Entries {
+			if val == nil {
+				body.Entries[i] = nil
+				continue
+			}
+			body.Entries[i] = marshalOperatorsAuditEntryToAuditEntryResponseBody(val)
+		}
+	} else {
+		body.Entries = []*AuditEntryResponseBody{}
+	}
+	return body
+}
+
+// NewVerifyResponseBody builds the HTTP response body from the result of the
+// "verify" endpoint of the "operators" service.
+func NewVerifyResponseBody(res *operators.VerifyResult) *VerifyResponseBody {
+	body := &VerifyResponseBody{
+		Entries: res.Entries,
+	}
+	return body
+}
+
+// NewExplainResponseBody builds the HTTP response body from the result of the
+// "explain" endpoint of the "operators" service.
+func NewExplainResponseBody(res *operators.Explanation) *ExplainResponseBody {
+	body := &ExplainResponseBody{
+		RequestID:    res.RequestID,
+		Summary:      res.Summary,
+		Text:         res.Text,
+		At:           res.At,
+		Team:         res.Team,
+		Deployment:   res.Deployment,
+		Policy:       res.Policy,
+		Revision:     res.Revision,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Ran:          res.Ran,
+		Detail:       res.Detail,
+		PromptTokens: res.PromptTokens,
+		CachedTokens: res.CachedTokens,
+	}
+	if res.Candidates != nil {
+		body.Candidates = make([]*CandidateResponseBody, len(res.Candidates))
+		for i, val := range res.Candidates {
+			if val == nil {
+				body.Candidates[i] = nil
+				continue
+			}
+			body.Candidates[i] = marshalOperatorsCandidateToCandidateResponseBody(val)
+		}
+	}
+	if res.Attempts != nil {
+		body.Attempts = make([]*AttemptResponseBody, len(res.Attempts))
+		for i, val := range res.Attempts {
+			if val == nil {
+				body.Attempts[i] = nil
+				continue
+			}
+			body.Attempts[i] = marshalOperatorsAttemptToAttemptResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewWhyNotResponseBody builds the HTTP response body from the result of the
+// "why_not" endpoint of the "operators" service.
+func NewWhyNotResponseBody(res *operators.Refusals) *WhyNotResponseBody {
+	body := &WhyNotResponseBody{
+		Complete: res.Complete,
+	}
+	if res.Refusals != nil {
+		body.Refusals = make([]*ExplanationResponseBody, len(res.Refusals))
+		for i, val := range res.Refusals {
+			if val == nil {
+				body.Refusals[i] = nil
+				continue
+			}
+			body.Refusals[i] = marshalOperatorsExplanationToExplanationResponseBody(val)
+		}
+	} else {
+		body.Refusals = []*ExplanationResponseBody{}
+	}
+	return body
+}
+
+// NewStatusResponseBody builds the HTTP response body from the result of the
+// "status" endpoint of the "operators" service.
+func NewStatusResponseBody(res *operators.FleetStatus) *StatusResponseBody {
+	body := &StatusResponseBody{
+		Revision:       res.Revision,
+		ExplainPending: res.ExplainPending,
+		ExplainDropped: res.ExplainDropped,
+	}
+	if res.Routers != nil {
+		body.Routers = make([]*RouterStatusResponseBody, len(res.Routers))
+		for i, val := range res.Routers {
+			if val == nil {
+				body.Routers[i] = nil
+				continue
+			}
+			body.Routers[i] = marshalOperatorsRouterStatusToRouterStatusResponseBody(val)
+		}
+	} else {
+		body.Routers = []*RouterStatusResponseBody{}
+	}
+	if res.BackendServers != nil {
+		body.BackendServers = make([]*BackendServerStatusResponseBody, len(res.BackendServers))
+		for i, val := range res.BackendServers {
+			if val == nil {
+				body.BackendServers[i] = nil
+				continue
+			}
+			body.BackendServers[i] = marshalOperatorsBackendServerStatusToBackendServerStatusResponseBody(val)
+		}
+	} else {
+		body.BackendServers = []*BackendServerStatusResponseBody{}
+	}
+	return body
+}
+
+// NewApplyBadRequestResponseBody builds the HTTP response body from the result
+// of the "apply" endpoint of the "operators" service.
+func NewApplyBadRequestResponseBody(res *goa.ServiceError) *ApplyBadRequestResponseBody {
+	body := &ApplyBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "apply" endpoint of the "operators" service.
+func NewApplyUnauthorizedResponseBody(res *goa.ServiceError) *ApplyUnauthorizedResponseBody {
+	body := &ApplyUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyForbiddenResponseBody builds the HTTP response body from the result
+// of the "apply" endpoint of the "operators" service.
+func NewApplyForbiddenResponseBody(res *goa.ServiceError) *ApplyForbiddenResponseBody {
+	body := &ApplyForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyNotFoundResponseBody builds the HTTP response body from the result
+// of the "apply" endpoint of the "operators" service.
+func NewApplyNotFoundResponseBody(res *goa.ServiceError) *ApplyNotFoundResponseBody {
+	body := &ApplyNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyConflictResponseBody builds the HTTP response body from the result
+// of the "apply" endpoint of the "operators" service.
+func NewApplyConflictResponseBody(res *goa.ServiceError) *ApplyConflictResponseBody {
+	body := &ApplyConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyTamperedResponseBody builds the HTTP response body from the result
+// of the "apply" endpoint of the "operators" service.
+func NewApplyTamperedResponseBody(res *goa.ServiceError) *ApplyTamperedResponseBody {
+	body := &ApplyTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyUnavailableResponseBody builds the HTTP response body from the
+// result of the "apply" endpoint of the "operators" service.
+func NewApplyUnavailableResponseBody(res *goa.ServiceError) *ApplyUnavailableResponseBody {
+	body := &ApplyUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackBadRequestResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackBadRequestResponseBody(res *goa.ServiceError) *RollbackBadRequestResponseBody {
+	body := &RollbackBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackUnauthorizedResponseBody(res *goa.ServiceError) *RollbackUnauthorizedResponseBody {
+	body := &RollbackUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackForbiddenResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackForbiddenResponseBody(res *goa.ServiceError) *RollbackForbiddenResponseBody {
+	body := &RollbackForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackNotFoundResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackNotFoundResponseBody(res *goa.ServiceError) *RollbackNotFoundResponseBody {
+	body := &RollbackNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackConflictResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackConflictResponseBody(res *goa.ServiceError) *RollbackConflictResponseBody {
+	body := &RollbackConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackTamperedResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackTamperedResponseBody(res *goa.ServiceError) *RollbackTamperedResponseBody {
+	body := &RollbackTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRollbackUnavailableResponseBody builds the HTTP response body from the
+// result of the "rollback" endpoint of the "operators" service.
+func NewRollbackUnavailableResponseBody(res *goa.ServiceError) *RollbackUnavailableResponseBody {
+	body := &RollbackUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainBadRequestResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "operators" service.
+func NewDrainBadRequestResponseBody(res *goa.ServiceError) *DrainBadRequestResponseBody {
+	body := &DrainBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "drain" endpoint of the "operators" service.
+func NewDrainUnauthorizedResponseBody(res *goa.ServiceError) *DrainUnauthorizedResponseBody {
+	body := &DrainUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainForbiddenResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "operators" service.
+func NewDrainForbiddenResponseBody(res *goa.ServiceError) *DrainForbiddenResponseBody {
+	body := &DrainForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainNotFoundResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "operators" service.
+func NewDrainNotFoundResponseBody(res *goa.ServiceError) *DrainNotFoundResponseBody {
+	body := &DrainNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainConflictResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "operators" service.
+func NewDrainConflictResponseBody(res *goa.ServiceError) *DrainConflictResponseBody {
+	body := &DrainConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainTamperedResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "operators" service.
+func NewDrainTamperedResponseBody(res *goa.ServiceError) *DrainTamperedResponseBody {
+	body := &DrainTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewDrainUnavailableResponseBody builds the HTTP response body from the
+// result of the "drain" endpoint of the "operators" service.
+func NewDrainUnavailableResponseBody(res *goa.ServiceError) *DrainUnavailableResponseBody {
+	body := &DrainUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsBadRequestResponseBody builds the HTTP response body from the
+// result of the "records" endpoint of the "operators" service.
+func NewRecordsBadRequestResponseBody(res *goa.ServiceError) *RecordsBadRequestResponseBody {
+	body := &RecordsBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "records" endpoint of the "operators" service.
+func NewRecordsUnauthorizedResponseBody(res *goa.ServiceError) *RecordsUnauthorizedResponseBody {
+	body := &RecordsUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsForbiddenResponseBody builds the HTTP response body from the
+// result of the "records" endpoint of the "operators" service.
+func NewRecordsForbiddenResponseBody(res *goa.ServiceError) *RecordsForbiddenResponseBody {
+	body := &RecordsForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsNotFoundResponseBody builds the HTTP response body from the result
+// of the "records" endpoint of the "operators" service.
+func NewRecordsNotFoundResponseBody(res *goa.ServiceError) *RecordsNotFoundResponseBody {
+	body := &RecordsNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsConflictResponseBody builds the HTTP response body from the result
+// of the "records" endpoint of the "operators" service.
+func NewRecordsConflictResponseBody(res *goa.ServiceError) *RecordsConflictResponseBody {
+	body := &RecordsConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsTamperedResponseBody builds the HTTP response body from the result
+// of the "records" endpoint of the "operators" service.
+func NewRecordsTamperedResponseBody(res *goa.ServiceError) *RecordsTamperedResponseBody {
+	body := &RecordsTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewRecordsUnavailableResponseBody builds the HTTP response body from the
+// result of the "records" endpoint of the "operators" service.
+func NewRecordsUnavailableResponseBody(res *goa.ServiceError) *RecordsUnavailableResponseBody {
+	body := &RecordsUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryBadRequestResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operators" service.
+func NewHistoryBadRequestResponseBody(res *goa.ServiceError) *HistoryBadRequestResponseBody {
+	body := &HistoryBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operators" service.
+func NewHistoryUnauthorizedResponseBody(res *goa.ServiceError) *HistoryUnauthorizedResponseBody {
+	body := &HistoryUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryForbiddenResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operators" service.
+func NewHistoryForbiddenResponseBody(res *goa.ServiceError) *HistoryForbiddenResponseBody {
+	body := &HistoryForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryNotFoundResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operators" service.
+func NewHistoryNotFoundResponseBody(res *goa.ServiceError) *HistoryNotFoundResponseBody {
+	body := &HistoryNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryConflictResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operators" service.
+func NewHistoryConflictResponseBody(res *goa.ServiceError) *HistoryConflictResponseBody {
+	body := &HistoryConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryTamperedResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operators" service.
+func NewHistoryTamperedResponseBody(res *goa.ServiceError) *HistoryTamperedResponseBody {
+	body := &HistoryTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewHistoryUnavailableResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operators" service.
+func NewHistoryUnavailableResponseBody(res *goa.ServiceError) *HistoryUnavailableResponseBody {
+	body := &HistoryUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyBadRequestResponseBody builds the HTTP response body from the
+// result of the "verify" endpoint of the "operators" service.
+func NewVerifyBadRequestResponseBody(res *goa.ServiceError) *VerifyBadRequestResponseBody {
+	body := &VerifyBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "verify" endpoint of the "operators" service.
+func NewVerifyUnauthorizedResponseBody(res *goa.ServiceError) *VerifyUnauthorizedResponseBody {
+	body := &VerifyUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyForbiddenResponseBody builds the HTTP response body from the result
+// of the "verify" endpoint of the "operators" service.
+func NewVerifyForbiddenResponseBody(res *goa.ServiceError) *VerifyForbiddenResponseBody {
+	body := &VerifyForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyNotFoundResponseBody builds the HTTP response body from the result
+// of the "verify" endpoint of the "operators" service.
+func NewVerifyNotFoundResponseBody(res *goa.ServiceError) *VerifyNotFoundResponseBody {
+	body := &VerifyNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyConflictResponseBody builds the HTTP response body from the result
+// of the "verify" endpoint of the "operators" service.
+func NewVerifyConflictResponseBody(res *goa.ServiceError) *VerifyConflictResponseBody {
+	body := &VerifyConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyTamperedResponseBody builds the HTTP response body from the result
+// of the "verify" endpoint of the "operators" service.
+func NewVerifyTamperedResponseBody(res *goa.ServiceError) *VerifyTamperedResponseBody {
+	body := &VerifyTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewVerifyUnavailableResponseBody builds the HTTP response body from the
+// result of the "verify" endpoint of the "operators" service.
+func NewVerifyUnavailableResponseBody(res *goa.ServiceError) *VerifyUnavailableResponseBody {
+	body := &VerifyUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainBadRequestResponseBody builds the HTTP response body from the
+// result of the "explain" endpoint of the "operators" service.
+func NewExplainBadRequestResponseBody(res *goa.ServiceError) *ExplainBadRequestResponseBody {
+	body := &ExplainBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "explain" endpoint of the "operators" service.
+func NewExplainUnauthorizedResponseBody(res *goa.ServiceError) *ExplainUnauthorizedResponseBody {
+	body := &ExplainUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainForbiddenResponseBody builds the HTTP response body from the
+// result of the "explain" endpoint of the "operators" service.
+func NewExplainForbiddenResponseBody(res *goa.ServiceError) *ExplainForbiddenResponseBody {
+	body := &ExplainForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainNotFoundResponseBody builds the HTTP response body from the result
+// of the "explain" endpoint of the "operators" service.
+func NewExplainNotFoundResponseBody(res *goa.ServiceError) *ExplainNotFoundResponseBody {
+	body := &ExplainNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainConflictResponseBody builds the HTTP response body from the result
+// of the "explain" endpoint of the "operators" service.
+func NewExplainConflictResponseBody(res *goa.ServiceError) *ExplainConflictResponseBody {
+	body := &ExplainConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainTamperedResponseBody builds the HTTP response body from the result
+// of the "explain" endpoint of the "operators" service.
+func NewExplainTamperedResponseBody(res *goa.ServiceError) *ExplainTamperedResponseBody {
+	body := &ExplainTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewExplainUnavailableResponseBody builds the HTTP response body from the
+// result of the "explain" endpoint of the "operators" service.
+func NewExplainUnavailableResponseBody(res *goa.ServiceError) *ExplainUnavailableResponseBody {
+	body := &ExplainUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotBadRequestResponseBody builds the HTTP response body from the
+// result of the "why_not" endpoint of the "operators" service.
+func NewWhyNotBadRequestResponseBody(res *goa.ServiceError) *WhyNotBadRequestResponseBody {
+	body := &WhyNotBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "why_not" endpoint of the "operators" service.
+func NewWhyNotUnauthorizedResponseBody(res *goa.ServiceError) *WhyNotUnauthorizedResponseBody {
+	body := &WhyNotUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotForbiddenResponseBody builds the HTTP response body from the result
+// of the "why_not" endpoint of the "operators" service.
+func NewWhyNotForbiddenResponseBody(res *goa.ServiceError) *WhyNotForbiddenResponseBody {
+	body := &WhyNotForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotNotFoundResponseBody builds the HTTP response body from the result
+// of the "why_not" endpoint of the "operators" service.
+func NewWhyNotNotFoundResponseBody(res *goa.ServiceError) *WhyNotNotFoundResponseBody {
+	body := &WhyNotNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotConflictResponseBody builds the HTTP response body from the result
+// of the "why_not" endpoint of the "operators" service.
+func NewWhyNotConflictResponseBody(res *goa.ServiceError) *WhyNotConflictResponseBody {
+	body := &WhyNotConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotTamperedResponseBody builds the HTTP response body from the result
+// of the "why_not" endpoint of the "operators" service.
+func NewWhyNotTamperedResponseBody(res *goa.ServiceError) *WhyNotTamperedResponseBody {
+	body := &WhyNotTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewWhyNotUnavailableResponseBody builds the HTTP response body from the
+// result of the "why_not" endpoint of the "operators" service.
+func NewWhyNotUnavailableResponseBody(res *goa.ServiceError) *WhyNotUnavailableResponseBody {
+	body := &WhyNotUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusBadRequestResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "operators" service.
+func NewStatusBadRequestResponseBody(res *goa.ServiceError) *StatusBadRequestResponseBody {
+	body := &StatusBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "operators" service.
+func NewStatusUnauthorizedResponseBody(res *goa.ServiceError) *StatusUnauthorizedResponseBody {
+	body := &StatusUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusForbiddenResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "operators" service.
+func NewStatusForbiddenResponseBody(res *goa.ServiceError) *StatusForbiddenResponseBody {
+	body := &StatusForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusNotFoundResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "operators" service.
+func NewStatusNotFoundResponseBody(res *goa.ServiceError) *StatusNotFoundResponseBody {
+	body := &StatusNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusConflictResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "operators" service.
+func NewStatusConflictResponseBody(res *goa.ServiceError) *StatusConflictResponseBody {
+	body := &StatusConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusTamperedResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "operators" service.
+func NewStatusTamperedResponseBody(res *goa.ServiceError) *StatusTamperedResponseBody {
+	body := &StatusTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewStatusUnavailableResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "operators" service.
+func NewStatusUnavailableResponseBody(res *goa.ServiceError) *StatusUnavailableResponseBody {
+	body := &StatusUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewApplyPayload builds a operators service apply endpoint payload.
+func NewApplyPayload(body *ApplyRequestBody, key string) *operators.ApplyPayload {
+	v := &operators.ApplyPayload{
+		Operator: *body.Operator,
+		Reason:   *body.Reason,
+		Token:    body.Token,
+	}
+	if body.Base != nil {
+		v.Base = *body.Base
+	}
+	if body.DryRun != nil {
+		v.DryRun = *body.DryRun
+	}
+	if body.Base == nil {
+		v.Base = 0
+	}
+	if body.DryRun == nil {
+		v.DryRun = false
+	}
+	if body.Files != nil {
+		v.Files = make([]*operators.RecordFile, len(body.Files))
+		for i, val := range body.Files {
+			if val == nil {
+				v.Files[i] = nil
+				continue
+			}
+			v.Files[i] = unmarshalRecordFileRequestBodyToOperatorsRecordFile(val)
+		}
+	}
+	if body.Delete != nil {
+		v.Delete = make([]string, len(body.Delete))
+		for i, val := range body.Delete {
+			v.Delete[i] = val
+		}
+	}
+	v.Key = key
+
+	return v
+}
+
+// NewRollbackPayload builds a operators service rollback endpoint payload.
+func NewRollbackPayload(body *RollbackRequestBody, key string) *operators.RollbackPayload {
+	v := &operators.RollbackPayload{
+		Operator: *body.Operator,
+		Reason:   *body.Reason,
+		Token:    body.Token,
+		Revision: *body.Revision,
+	}
+	if body.Base != nil {
+		v.Base = *body.Base
+	}
+	if body.DryRun != nil {
+		v.DryRun = *body.DryRun
+	}
+	if body.Base == nil {
+		v.Base = 0
+	}
+	if body.DryRun == nil {
+		v.DryRun = false
+	}
+	v.Key = key
+
+	return v
+}
+
+// NewDrainPayload builds a operators service drain endpoint payload.
+func NewDrainPayload(body *DrainRequestBody, name string, key string) *operators.DrainPayload {
+	v := &operators.DrainPayload{
+		Operator: *body.Operator,
+		Reason:   *body.Reason,
+		Token:    body.Token,
+	}
+	if body.Base != nil {
+		v.Base = *body.Base
+	}
+	if body.DryRun != nil {
+		v.DryRun = *body.DryRun
+	}
+	if body.Undo != nil {
+		v.Undo = *body.Undo
+	}
+	if body.Base == nil {
+		v.Base = 0
+	}
+	if body.DryRun == nil {
+		v.DryRun = false
+	}
+	if body.Undo == nil {
+		v.Undo = false
+	}
+	v.Name = name
+	v.Key = key
+
+	return v
+}
+
+// NewRecordsPayload builds a operators service records endpoint payload.
+func NewRecordsPayload(kind *string, name *string, revision uint64, variants bool, key string) *operators.RecordsPayload {
+	v := &operators.RecordsPayload{}
+	v.Kind = kind
+	v.Name = name
+	v.Revision = revision
+	v.Variants = variants
+	v.Key = key
+
+	return v
+}
+
+// NewHistoryPayload builds a operators service history endpoint payload.
+func NewHistoryPayload(record *string, before uint64, limit int, key string) *operators.HistoryPayload {
+	v := &operators.HistoryPayload{}
+	v.Record = record
+	v.Before = before
+	v.Limit = limit
+	v.Key = key
+
+	return v
+}
+
+// NewVerifyPayload builds a operators service verify endpoint payload.
+func NewVerifyPayload(key string) *operators.VerifyPayload {
+	v := &operators.VerifyPayload{}
+	v.Key = key
+
+	return v
+}
+
+// NewExplainPayload builds a operators service explain endpoint payload.
+func NewExplainPayload(id string, key string) *operators.ExplainPayload {
+	v := &operators.ExplainPayload{}
+	v.ID = id
+	v.Key = key
+
+	return v
+}
+
+// NewWhyNotPayload builds a operators service why_not endpoint payload.
+func NewWhyNotPayload(team *string, deployment *string, reason *string, since *string, until *string, limit int, key string) *operators.WhyNotPayload {
+	v := &operators.WhyNotPayload{}
+	v.Team = team
+	v.Deployment = deployment
+	v.Reason = reason
+	v.Since = since
+	v.Until = until
+	v.Limit = limit
+	v.Key = key
+
+	return v
+}
+
+// NewStatusPayload builds a operators service status endpoint payload.
+func NewStatusPayload(key string) *operators.StatusPayload {
+	v := &operators.StatusPayload{}
+	v.Key = key
+
+	return v
+}
+
+// ValidateApplyRequestBody runs the validations defined on ApplyRequestBody
+func ValidateApplyRequestBody(body *ApplyRequestBody) (err error) {
+	if body.Operator == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operator", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 1, true))
+		}
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 128, false))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1, true))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1000, false))
+		}
+	}
+	if body.Token != nil {
+		if utf8.RuneCountInString(*body.Token) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.token", *body.Token, utf8.RuneCountInString(*body.Token), 64, false))
+		}
+	}
+	for _, e := range body.Files {
+		if e != nil {
+			if err2 := ValidateRecordFileRequestBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRollbackRequestBody runs the validations defined on
+// RollbackRequestBody
+func ValidateRollbackRequestBody(body *RollbackRequestBody) (err error) {
+	if body.Operator == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operator", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 1, true))
+		}
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 128, false))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1, true))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1000, false))
+		}
+	}
+	if body.Token != nil {
+		if utf8.RuneCountInString(*body.Token) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.token", *body.Token, utf8.RuneCountInString(*body.Token), 64, false))
+		}
+	}
+	return
+}
+
+// ValidateDrainRequestBody runs the validations defined on DrainRequestBody
+func ValidateDrainRequestBody(body *DrainRequestBody) (err error) {
+	if body.Operator == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operator", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 1, true))
+		}
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 128, false))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1, true))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1000, false))
+		}
+	}
+	if body.Token != nil {
+		if utf8.RuneCountInString(*body.Token) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.token", *body.Token, utf8.RuneCountInString(*body.Token), 64, false))
+		}
+	}
+	return
+}
+
+// ValidateRecordFileRequestBody runs the validations defined on
+// RecordFileRequestBody
+func ValidateRecordFileRequestBody(body *RecordFileRequestBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Content == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("content", "body"))
+	}
+	if body.Name != nil {
+		if utf8.RuneCountInString(*body.Name) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.name", *body.Name, utf8.RuneCountInString(*body.Name), 1024, false))
+		}
+	}
+	if body.Content != nil {
+		if utf8.RuneCountInString(*body.Content) > 4194304 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.content", *body.Content, utf8.RuneCountInString(*body.Content), 4194304, false))
+		}
+	}
+	return
 }
--- a/router/gen/operators/client.go
+++ b/router/gen/operators/client.go
@@ -15,21 +15,155 @@
 
 // Client is the "operators" service client.
 type Client struct {
-	ExplainEndpoint goa.Endpoint
+	ApplyEndpoint    goa.Endpoint
+	RollbackEndpoint goa.Endpoint
+	DrainEndpoint    goa.Endpoint
+	RecordsEndpoint  goa.Endpoint
+	HistoryEndpoint  goa.Endpoint
+	VerifyEndpoint   goa.Endpoint
+	ExplainEndpoint  goa.Endpoint
+	WhyNotEndpoint   goa.Endpoint
+	StatusEndpoint   goa.Endpoint
 }
 
 // NewClient initializes a "operators" service client given the endpoints.
-func NewClient(explain goa.Endpoint) *Client {
+func NewClient(apply, rollback, drain, records, history, verify, explain, whyNot, status goa.Endpoint) *Client {
 	return &Client{
-		ExplainEndpoint: explain,
+		ApplyEndpoint:    apply,
+		RollbackEndpoint: rollback,
+		DrainEndpoint:    drain,
+		RecordsEndpoint:  records,
+		HistoryEndpoint:  history,
+		VerifyEndpoint:   verify,
+		ExplainEndpoint:  explain,
+		WhyNotEndpoint:   whyNot,
+		StatusEndpoint:   status,
 	}
 }
 
+// Apply calls the "apply" endpoint of the "operators" service.
+// Apply may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Apply(ctx context.Context, p *ApplyPayload) (res *Applied, err error) {
+	var ires any
+	ires, err = c.ApplyEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Applied), nil
+}
+
+// Rollback calls the "rollback" endpoint of the "operators" service.
+// Rollback may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Rollback(ctx context.Context, p *RollbackPayload) (res *Applied, err error) {
+	var ires any
+	ires, err = c.RollbackEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Applied), nil
+}
+
+// Drain calls the "drain" endpoint of the "operators" service.
+// Drain may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Drain(ctx context.Context, p *DrainPayload) (res *Applied, err error) {
+	var ires any
+	ires, err = c.DrainEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Applied), nil
+}
+
+// Records calls the "records" endpoint of the "operators" service.
+// Records may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Records(ctx context.Context, p *RecordsPayload) (res *HeldRecords, err error) {
+	var ires any
+	ires, err = c.RecordsEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*HeldRecords), nil
+}
+
+// History calls the "history" endpoint of the "operators" service.
+// History may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) History(ctx context.Context, p *HistoryPayload) (res *AuditEntries, err error) {
+	var ires any
+	ires, err = c.HistoryEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*AuditEntries), nil
+}
+
+// Verify calls the "verify" endpoint of the "operators" service.
+// Verify may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Verify(ctx context.Context, p *VerifyPayload) (res *VerifyResult, err error) {
+	var ires any
+	ires, err = c.VerifyEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*VerifyResult), nil
+}
+
 // Explain calls the "explain" endpoint of the "operators" service.
 // Explain may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
 //   - "unauthorized" (type *goa.ServiceError)
 //   - "forbidden" (type *goa.ServiceError)
 //   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
 //   - error: internal error
 func (c *Client) Explain(ctx context.Context, p *ExplainPayload) (res *Explanation, err error) {
 	var ires any
@@ -39,3 +173,41 @@
 	}
 	return ires.(*Explanation), nil
 }
+
+// WhyNot calls the "why_not" endpoint of the "operators" service.
+// WhyNot may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) WhyNot(ctx context.Context, p *WhyNotPayload) (res *Refusals, err error) {
+	var ires any
+	ires, err = c.WhyNotEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Refusals), nil
+}
+
+// Status calls the "status" endpoint of the "operators" service.
+// Status may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Status(ctx context.Context, p *StatusPayload) (res *FleetStatus, err error) {
+	var ires any
+	ires, err = c.StatusEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*FleetStatus), nil
+}
--- a/router/gen/operators/endpoints.go
+++ b/router/gen/operators/endpoints.go
@@ -16,7 +16,15 @@
 
 // Endpoints wraps the "operators" service endpoints.
 type Endpoints struct {
-	Explain goa.Endpoint
+	Apply    goa.Endpoint
+	Rollback goa.Endpoint
+	Drain    goa.Endpoint
+	Records  goa.Endpoint
+	History  goa.Endpoint
+	Verify   goa.Endpoint
+	Explain  goa.Endpoint
+	WhyNot   goa.Endpoint
+	Status   goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "operators" service with endpoints.
@@ -24,13 +32,143 @@
 	// Casting service to Auther interface
 	a := s.(Auther)
 	return &Endpoints{
-		Explain: NewExplainEndpoint(s, a.APIKeyAuth),
+		Apply:    NewApplyEndpoint(s, a.APIKeyAuth),
+		Rollback: NewRollbackEndpoint(s, a.APIKeyAuth),
+		Drain:    NewDrainEndpoint(s, a.APIKeyAuth),
+		Records:  NewRecordsEndpoint(s, a.APIKeyAuth),
+		History:  NewHistoryEndpoint(s, a.APIKeyAuth),
+		Verify:   NewVerifyEndpoint(s, a.APIKeyAuth),
+		Explain:  NewExplainEndpoint(s, a.APIKeyAuth),
+		WhyNot:   NewWhyNotEndpoint(s, a.APIKeyAuth),
+		Status:   NewStatusEndpoint(s, a.APIKeyAuth),
 	}
 }
 
 // Use applies the given middleware to all the "operators" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
+	e.Apply = m(e.Apply)
+	e.Rollback = m(e.Rollback)
+	e.Drain = m(e.Drain)
+	e.Records = m(e.Records)
+	e.History = m(e.History)
+	e.Verify = m(e.Verify)
 	e.Explain = m(e.Explain)
+	e.WhyNot = m(e.WhyNot)
+	e.Status = m(e.Status)
+}
+
+// NewApplyEndpoint returns an endpoint function that calls the method "apply"
+// of service "operators".
+func NewApplyEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ApplyPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Apply(ctx, p)
+	}
+}
+
+// NewRollbackEndpoint returns an endpoint function that calls the method
+// "rollback" of service "operators".
+func NewRollbackEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RollbackPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Rollback(ctx, p)
+	}
+}
+
+// NewDrainEndpoint returns an endpoint function that calls the method "drain"
+// of service "operators".
+func NewDrainEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*DrainPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Drain(ctx, p)
+	}
+}
+
+// NewRecordsEndpoint returns an endpoint function that calls the method
+// "records" of service "operators".
+func NewRecordsEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RecordsPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Records(ctx, p)
+	}
+}
+
+// NewHistoryEndpoint returns an endpoint function that calls the method
+// "history" of service "operators".
+func NewHistoryEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*HistoryPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.History(ctx, p)
+	}
+}
+
+// NewVerifyEndpoint returns an endpoint function that calls the method
+// "verify" of service "operators".
+func NewVerifyEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*VerifyPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Verify(ctx, p)
+	}
 }
 
 // NewExplainEndpoint returns an endpoint function that calls the method
@@ -51,3 +189,41 @@
 		return s.Explain(ctx, p)
 	}
 }
+
+// NewWhyNotEndpoint returns an endpoint function that calls the method
+// "why_not" of service "operators".
+func NewWhyNotEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*WhyNotPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.WhyNot(ctx, p)
+	}
+}
+
+// NewStatusEndpoint returns an endpoint function that calls the method
+// "status" of service "operators".
+func NewStatusEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*StatusPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Status(ctx, p)
+	}
+}
