--- a/router/gen/operators/service.go
+++ b/router/gen/operators/service.go
@@ -16,8 +16,24 @@
 
 // Serves operators.
 type Service interface {
+	// Puts and deletes records, all or none.
+	Apply(context.Context, *ApplyPayload) (res *Applied, err error)
+	// Brings back the records of an older revision as a new one.
+	Rollback(context.Context, *RollbackPayload) (res *Applied, err error)
+	// Starts or ends the draining of a backend server by its record.
+	Drain(context.Context, *DrainPayload) (res *Applied, err error)
+	// Records implements records.
+	Records(context.Context, *RecordsPayload) (res *HeldRecords, err error)
+	// Returns the newest entries of the audit trail.
+	History(context.Context, *HistoryPayload) (res *AuditEntries, err error)
+	// Checks that no entry of the audit trail is missing or edited.
+	Verify(context.Context, *VerifyPayload) (res *VerifyResult, err error)
 	// Explain implements explain.
 	Explain(context.Context, *ExplainPayload) (res *Explanation, err error)
+	// Returns refusals.
+	WhyNot(context.Context, *WhyNotPayload) (res *Refusals, err error)
+	// Status implements status.
+	Status(context.Context, *StatusPayload) (res *FleetStatus, err error)
 }
 
 // Auther defines the authorization functions to be implemented by the service.
@@ -40,17 +56,101 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [1]string{"explain"}
+var MethodNames = [9]string{"apply", "rollback", "drain", "records", "history", "verify", "explain", "why_not", "status"}
+
+// Applied is the result type of the operators service apply method.
+type Applied struct {
+	// Revision that holds the change; the current one when nothing changed or for
+	// a dry run.
+	Revision uint64
+	Changes  []*RecordChange
+}
+
+// ApplyPayload is the payload type of the operators service apply method.
+type ApplyPayload struct {
+	// Key of a team of operators.
+	Key string
+	// Who makes the change.
+	Operator string
+	// Why.
+	Reason string
+	// Identifies the change, so that it is applied once.
+	Token *string
+	// Revision that the change was made on; 0 to write over what stands.
+	Base uint64
+	// Check only.
+	DryRun bool
+	Files  []*RecordFile
+	// Kinds and names of records.
+	Delete []string
+}
 
 type Attempt struct {
 	BackendServer string
 	Result        string
+	// Time since the request came.
+	After  *string
+	Reason *string
+	Ran    *string
+}
+
+// AuditEntries is the result type of the operators service history method.
+type AuditEntries struct {
+	// In the order of their revisions.
+	Entries []*AuditEntry
+	// The newest revision.
+	Newest uint64
+}
+
+type AuditEntry struct {
+	Revision uint64
+	When     string
+	Who      string
+	// Address that the change came from.
+	From    string
+	Reason  string
+	Changes []*RecordChange
+	Digest  string
+}
+
+type BackendServerStatus struct {
+	Name             string
+	Deployment       string
+	AvailabilityZone string
+	State            string
+	Running          *uint32
+	Queued           *uint32
+	WeightsVersion   *string
+	// Highest revision that its sidecar has seen.
+	Revision *uint64
 }
 
 type Candidate struct {
 	BackendServer string
 	// Estimated cost as a duration.
 	Cost string
+	// Part of the cost that is waiting.
+	Wait         *string
+	CachedTokens *uint32
+}
+
+// DrainPayload is the payload type of the operators service drain method.
+type DrainPayload struct {
+	// Key of a team of operators.
+	Key string
+	// Who makes the change.
+	Operator string
+	// Why.
+	Reason string
+	// Identifies the change, so that it is applied once.
+	Token *string
+	// Revision that the change was made on; 0 to write over what stands.
+	Base uint64
+	// Check only.
+	DryRun bool
+	Name   string
+	// Let it take work again.
+	Undo bool
 }
 
 // ExplainPayload is the payload type of the operators service explain method.
@@ -65,20 +165,163 @@
 type Explanation struct {
 	RequestID string
 	// What happened, in plain words.
-	Summary    string
+	Summary string
+	// The summary and what the decision was made from.
+	Text string
+	// When the request came.
+	At         string
 	Team       string
 	Deployment string
+	Policy     *string
 	// Revision of the configuration in force.
 	Revision     uint64
 	Outcome      string
 	Reason       string
 	Ran          string
+	Detail       *string
 	PromptTokens uint32
 	CachedTokens uint32
 	Candidates   []*Candidate
 	Attempts     []*Attempt
 }
 
+// FleetStatus is the result type of the operators service status method.
+type FleetStatus struct {
+	Revision       uint64
+	Routers        []*RouterStatus
+	BackendServers []*BackendServerStatus
+	// Decisions not yet in the object store.
+	ExplainPending int
+	// Decisions dropped because the object store did not take them.
+	ExplainDropped uint64
+}
+
+type HeldRecord struct {
+	// Kind and name.
+	Record        string
+	SchemaVersion int
+	// The record as YAML.
+	Document string
+}
+
+// HeldRecords is the result type of the operators service records method.
+type HeldRecords struct {
+	Revision uint64
+	Records  []*HeldRecord
+}
+
+// HistoryPayload is the payload type of the operators service history method.
+type HistoryPayload struct {
+	// Key of a team of operators.
+	Key string
+	// Kind and name; empty for all.
+	Record *string
+	// Only entries below the revision; 0 for the newest.
+	Before uint64
+	Limit  int
+}
+
+type RecordChange struct {
+	// Kind and name.
+	Record string
+	// YAML documents that stood there; empty for a new record.
+	Before string
+	// YAML documents that stand there; empty for a deleted record.
+	After string
+}
+
+type RecordFile struct {
+	// Name of the file, for messages.
+	Name string
+	// YAML documents.
+	Content string
+}
+
+// RecordsPayload is the payload type of the operators service records method.
+type RecordsPayload struct {
+	// Key of a team of operators.
+	Key  string
+	Kind *string
+	Name *string
+	// 0 for the newest.
+	Revision uint64
+	// Include records that stand beside those in force.
+	Variants bool
+}
+
+// Refusals is the result type of the operators service why_not method.
+type Refusals struct {
+	// The newest first.
+	Refusals []*Explanation
+	// False when there may be more.
+	Complete bool
+}
+
+// RollbackPayload is the payload type of the operators service rollback method.
+type RollbackPayload struct {
+	// Key of a team of operators.
+	Key string
+	// Who makes the change.
+	Operator string
+	// Why.
+	Reason string
+	// Identifies the change, so that it is applied once.
+	Token *string
+	// Revision that the change was made on; 0 to write over what stands.
+	Base uint64
+	// Check only.
+	DryRun   bool
+	Revision uint64
+}
+
+type RouterStatus struct {
+	Name             string
+	AvailabilityZone string
+	Incarnation      *string
+	Ready            bool
+	Revision         uint64
+	// Time since the revision was known to be the newest.
+	Age *string
+	// Why the router did not answer.
+	Error *string
+}
+
+// StatusPayload is the payload type of the operators service status method.
+type StatusPayload struct {
+	// Key of a team of operators.
+	Key string
+}
+
+// VerifyPayload is the payload type of the operators service verify method.
+type VerifyPayload struct {
+	// Key of a team of operators.
+	Key string
+}
+
+// VerifyResult is the result type of the operators service verify method.
+type VerifyResult struct {
+	Entries int
+}
+
+// WhyNotPayload is the payload type of the operators service why_not method.
+type WhyNotPayload struct {
+	// Key of a team of operators.
+	Key        string
+	Team       *string
+	Deployment *string
+	Reason     *string
+	// Begin of the time, in RFC 3339; an hour ago when empty.
+	Since *string
+	// End of the time, in RFC 3339; now when empty.
+	Until *string
+	Limit int
+}
+
+// MakeBadRequest builds a goa.ServiceError from an error.
+func MakeBadRequest(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "bad_request", false, false, false)
+}
+
 // MakeUnauthorized builds a goa.ServiceError from an error.
 func MakeUnauthorized(err error) *goa.ServiceError {
 	return goa.NewServiceError(err, "unauthorized", false, false, false)
@@ -93,3 +336,18 @@
 func MakeNotFound(err error) *goa.ServiceError {
 	return goa.NewServiceError(err, "not_found", false, false, false)
 }
+
+// MakeConflict builds a goa.ServiceError from an error.
+func MakeConflict(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "conflict", false, false, false)
+}
+
+// MakeTampered builds a goa.ServiceError from an error.
+func MakeTampered(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "tampered", false, false, false)
+}
+
+// MakeUnavailable builds a goa.ServiceError from an error.
+func MakeUnavailable(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "unavailable", false, false, false)
+}
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"amaranthreach.example/core/amrconfig"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
@@ -25,7 +26,7 @@
 
 	mu       sync.Mutex
 	draining bool
-	revision uint64
+	floor    amrconfig.Floor
 	running  int
 	idleCh   chan struct{} // Closed when draining and nothing is in progress.
 }
@@ -96,7 +97,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	load.Draining = g.draining
-	load.Revision = g.revision
+	load.Revision = g.floor.Highest()
 	return load
 }
 
@@ -107,7 +108,9 @@
 	if g.draining {
 		return amrreason.Draining
 	}
-	g.revision = max(g.revision, revision)
+	if !g.floor.Fresh(g.sidecar.clock.Now(), revision) {
+		return amrreason.StaleConfiguration
+	}
 	g.running++
 	return ""
 }
