Relay answers through attempts that fail, race or come late

It reads an attempt no further than the caller takes the answer, so the relay's own pausing goes. The end event carries the count and digest of the whole answer, whatever attempts made it. A planned stop, a killed sidecar, a crashed engine, and two of them one after the other leave text and digest of the answer as in the run without a fault; three crashes end in an explicit error event. Before, a broken answer of a plain service was begun again behind the part already relayed.

--- a/core/amrstream/event.go
+++ b/core/amrstream/event.go
@@ -29,9 +29,6 @@
 	Ran    amrreason.Ran
 }
 
-// Sent says that bytes relayed have left for the caller.
-type Sent struct{ Bytes int }
-
 // CallerGone says that the caller no longer takes the answer.
 type CallerGone struct{}
 
@@ -40,7 +37,6 @@
 func (Finished) event()   {}
 func (Failed) event()     {}
 func (NotResumed) event() {}
-func (Sent) event()       {}
 func (CallerGone) event() {}
 
 // Action is what a Relay asks for.
@@ -61,12 +57,6 @@
 	Ran    amrreason.Ran
 }
 
-// Pause asks to read no more from attempts until Proceed.
-type Pause struct{}
-
-// Proceed takes back Pause.
-type Proceed struct{}
-
 // Complete ends the answer.
 type Complete struct{ End End }
 
@@ -79,7 +69,5 @@
 func (Emit) action()     {}
 func (Cancel) action()   {}
 func (Resume) action()   {}
-func (Pause) action()    {}
-func (Proceed) action()  {}
 func (Complete) action() {}
 func (Abort) action()    {}
--- a/core/amrstream/numberer.go
+++ b/core/amrstream/numberer.go
@@ -16,10 +16,6 @@
 	Tokens  int
 }
 
-func (c Chunk) size() int {
-	return len(c.Text) + len(c.Body)
-}
-
 // End says that an attempt's answer is whole.
 type End struct {
 	Attempt uint32
--- a/core/amrstream/relay.go
+++ b/core/amrstream/relay.go
@@ -7,20 +7,13 @@
 	"amaranthreach.example/core/amrreason"
 )
 
-const (
-	// DefaultMaxUnsent is the number of bytes that may wait for a slow caller
-	// before reading from attempts pauses.
-	DefaultMaxUnsent = 256 << 10
-
-	// DefaultMaxText bounds the text that is kept to resume an answer.
-	DefaultMaxText = 1 << 20
-)
+// DefaultMaxText bounds the text that is kept to resume an answer.
+const DefaultMaxText = 1 << 20
 
 // Relay merges the attempts of one request into one ordered answer. It is not
 // safe for concurrent use.
 type Relay struct {
 	resumable bool
-	maxUnsent int
 	maxText   int
 
 	attempts map[uint32]*attempt // Those that were ever started.
@@ -28,8 +21,6 @@
 	text     strings.Builder     // Relayed so far, while it can be resumed.
 	tokens   int
 	total    counter
-	unsent   int
-	paused   bool
 	done     bool
 	mayRun   bool // An attempt that failed may have run.
 	dropped  Dropped
@@ -54,7 +45,6 @@
 func NewRelay(opts ...RelayOption) *Relay {
 	r := &Relay{
 		resumable: true,
-		maxUnsent: DefaultMaxUnsent,
 		maxText:   DefaultMaxText,
 		attempts:  make(map[uint32]*attempt),
 	}
@@ -73,11 +63,6 @@
 	return func(r *Relay) { r.resumable = false }
 }
 
-// WithMaxUnsent sets the number of bytes that may wait for a slow caller.
-func WithMaxUnsent(bytes int) RelayOption {
-	return func(r *Relay) { r.maxUnsent = bytes }
-}
-
 // WithMaxText sets the bound on the text kept to resume an answer.
 func WithMaxText(bytes int) RelayOption {
 	return func(r *Relay) { r.maxText = bytes }
@@ -113,8 +98,6 @@
 		if !r.done {
 			return r.abort(ev.Reason, ev.Ran)
 		}
-	case Sent:
-		return r.sent(ev.Bytes)
 	case CallerGone:
 		if !r.done {
 			r.done = true
@@ -142,14 +125,8 @@
 	actions := r.choose(c.Attempt)
 	r.keep(c)
 	r.total.add(c)
-	r.unsent += c.size()
 	c.Seq = r.total.chunks
-	actions = append(actions, Emit{Chunk: c})
-	if r.unsent > r.maxUnsent && !r.paused {
-		r.paused = true
-		actions = append(actions, Pause{})
-	}
-	return actions
+	return append(actions, Emit{Chunk: c})
 }
 
 // finished completes the answer when the attempt's chunks were all relayed.
@@ -168,7 +145,14 @@
 	actions := r.choose(end.Attempt)
 	r.done = true
 	r.attempts[end.Attempt].live = false
-	return append(actions, Complete{End: End{Chunks: r.total.chunks, Digest: r.total.digest(), Usage: end.Usage}})
+	return append(actions, Complete{End: r.wholeEnd(end.Usage)})
+}
+
+// wholeEnd returns the end of the whole answer. An engine that resumed an
+// answer may count only its own tokens.
+func (r *Relay) wholeEnd(usage Usage) End {
+	usage.CompletionTokens = max(usage.CompletionTokens, r.tokens)
+	return End{Chunks: r.total.chunks, Digest: r.total.digest(), Usage: usage}
 }
 
 // lookUp returns the live attempt, or nil after counting what is dropped.
@@ -241,15 +225,6 @@
 	return append(r.cancelAll(), Abort{Reason: reason, Ran: ran})
 }
 
-func (r *Relay) sent(bytes int) []Action {
-	r.unsent -= bytes
-	if r.paused && r.unsent <= r.maxUnsent/2 {
-		r.paused = false
-		return []Action{Proceed{}}
-	}
-	return nil
-}
-
 func (r *Relay) cancelAll() []Action {
 	var actions []Action
 	for _, number := range r.live() {
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -49,6 +49,7 @@
 	chooser     *chooser
 	decisions   *decisions
 	sidecars    *sidecars
+	retries     *retries
 	ledger      *amrledger.Ledger
 	runs        errgroup.Group // Non-idempotent requests in progress.
 
@@ -113,6 +114,7 @@
 	r.gates = newGates(config)
 	r.chooser = newChooser()
 	r.sidecars = newSidecars()
+	r.retries = newRetries()
 	if r.platform == nil {
 		r.platform = amrplatform.NewClient(settings.PlatformURL)
 	}
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -103,6 +103,9 @@
 // URL returns the URL of the backend server itself.
 func (s *Server) URL() string { return s.url }
 
+// MetricsURL returns the URL of the sidecar's metrics and readiness.
+func (s *Server) MetricsURL() string { return "http://" + s.metrics }
+
 // RouterProcess is a router of a fleet.
 type RouterProcess struct {
 	*Process
--- a/standin/amrfleet/promise_test.go
+++ b/standin/amrfleet/promise_test.go
@@ -2,23 +2,32 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrfleet"
 )
 
+// decodeStep gives faults time to happen in the middle of an answer.
+const decodeStep = 400 * time.Millisecond
+
 // TestPromises plays the failures of testdata/promises and compares what
 // callers see and how often backend servers ran.
 func TestPromises(t *testing.T) {
 	datadriven.Walk(t, "testdata/promises", func(t *testing.T, path string) {
+		t.Parallel()
 		is := is.New(t)
 		config := amrfleet.DefaultConfig
 		config.TimeScale = 20
 		config.Services = 2
+		config.EngineOptions = []amrengine.Option{amrengine.WithDecodeStep(decodeStep)}
 		fleet, err := amrfleet.Start(context.Background(), config)
 		is.NoErr(err)
 		defer func() { is.NoErr(fleet.Stop()) }()
@@ -28,6 +37,8 @@
 				return apply(t, fleet, d.Input)
 			case "post":
 				return post(t, fleet, d)
+			case "stream":
+				return stream(t, fleet, d)
 			case "runs":
 				return runs(fleet)
 			case "fault":
@@ -56,6 +67,13 @@
 	case "service-lose":
 		d.ScanArgs(t, name, &n)
 		server(t, fleet, d).Service.LoseAnswers(n)
+	case "heal-engines":
+		for _, s := range fleet.Servers {
+			if s.Engine != nil {
+				s.Engine.Restart()
+			}
+		}
+		awaitReady(t, fleet)
 	case "restart-sidecars":
 		for _, s := range fleet.Servers {
 			s.Sidecar.Kill()
@@ -66,6 +84,27 @@
 	}
 }
 
+// awaitReady waits until every sidecar serves a backend server that is up.
+func awaitReady(t *testing.T, fleet *amrfleet.Fleet) {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	for _, s := range fleet.Servers {
+		for deadline := clock.Now().Add(10 * time.Second); ; clock.Sleep(5 * time.Millisecond) {
+			if clock.Now().After(deadline) {
+				t.Fatalf("%s is not ready", s.Name)
+			}
+			response, err := http.Get(s.MetricsURL() + "/readyz")
+			if err != nil {
+				continue
+			}
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				break
+			}
+		}
+	}
+}
+
 // server returns the backend server that the fault names.
 func server(t *testing.T, fleet *amrfleet.Fleet, d *datadriven.TestData) *amrfleet.Server {
 	t.Helper()
--- /dev/null
+++ b/standin/amrfleet/stream_test.go
@@ -0,0 +1,139 @@
+package amrfleet_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"amaranthreach.example/standin/amrengine"
+	"amaranthreach.example/standin/amrfleet"
+)
+
+// streamEvent is an event of a streamed completion.
+type streamEvent struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	End *struct {
+		Digest string `json:"digest"`
+	} `json:"end"`
+	Error *struct {
+		Code string `json:"code"`
+		Ran  string `json:"ran"`
+	} `json:"error"`
+}
+
+// stream reads a streamed answer. An argument such as at3=crash-engine breaks
+// what serves it after the third event. It returns the text, how it ended, and the runs of the engines.
+func stream(t *testing.T, fleet *amrfleet.Fleet, d *datadriven.TestData) string {
+	t.Helper()
+	is := is.New(t)
+	cuts := map[int]string{}
+	for _, arg := range d.CmdArgs {
+		at, err := strconv.Atoi(strings.TrimPrefix(arg.Key, "at"))
+		is.NoErr(err)
+		cuts[at] = arg.Vals[0]
+	}
+	before := outcomes(fleet)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fleet.Routers[0].CallersURL()+"/v1/completions", strings.NewReader(d.Input))
+	is.NoErr(err)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer m-key")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	var b strings.Builder
+	var text string
+	events := 0
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found || data == "[DONE]" {
+			continue
+		}
+		var event streamEvent
+		is.NoErr(json.Unmarshal([]byte(data), &event))
+		for _, choice := range event.Choices {
+			text += choice.Text
+		}
+		if event.End != nil {
+			fmt.Fprintf(&b, "end, digest %s\n", event.End.Digest)
+		}
+		if event.Error != nil {
+			fmt.Fprintf(&b, "error %s, %s\n", event.Error.Code, event.Error.Ran)
+		}
+		events++
+		breakServer(t, fleet, cuts[events])
+	}
+	return text + "\n" + b.String() + difference(outcomes(fleet), before)
+}
+
+// breakServer breaks the server that is running a request.
+func breakServer(t *testing.T, fleet *amrfleet.Fleet, how string) {
+	t.Helper()
+	if how == "" {
+		return
+	}
+	for _, s := range fleet.Servers {
+		if s.Engine == nil || !running(s.Engine) {
+			continue
+		}
+		switch how {
+		case "crash-engine":
+			s.Engine.CrashFor(time.Minute)
+		case "kill-sidecar":
+			s.Sidecar.Kill()
+			is.New(t).NoErr(fleet.StartSidecar(s))
+		case "drain-sidecar":
+			is.New(t).NoErr(s.Sidecar.Stop())
+			is.New(t).NoErr(fleet.StartSidecar(s))
+		default:
+			t.Fatalf("unknown cut %s", how)
+		}
+		return
+	}
+}
+
+func running(e *amrengine.Engine) bool {
+	for _, run := range e.Log() {
+		if run.Outcome == amrengine.OutcomeRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// outcomes counts the runs of the engines by outcome.
+func outcomes(fleet *amrfleet.Fleet) map[amrengine.Outcome]int {
+	counts := map[amrengine.Outcome]int{}
+	for _, s := range fleet.Servers {
+		if s.Engine == nil {
+			continue
+		}
+		for _, run := range s.Engine.Log() {
+			counts[run.Outcome]++
+		}
+	}
+	return counts
+}
+
+func difference(after, before map[amrengine.Outcome]int) string {
+	for outcome, n := range before {
+		after[outcome] -= n
+		if after[outcome] == 0 {
+			delete(after, outcome)
+		}
+	}
+	return fmt.Sprintf("runs: %v\n", after)
+}
