--- a/standin/amrengine/engine.go
+++ b/standin/amrengine/engine.go
@@ -158,17 +158,13 @@
 
 // State is the exact state of an engine at an instant.
 type State struct {
-	Up              bool
-	Incarnation     string
-	Weights         string
-	Running         int // Requests in prefill or in the batch.
-	Waiting         int // Requests not yet in prefill.
-	WaitingTokens   int // Prompt tokens that the accepted requests still have to compute.
-	CachedTokens    int // Tokens of the asked keys that are in the cache.
-	ExpectedTokens  int // Those that will be once the accepted requests have computed theirs.
-	BatchLimit      int
-	TokensPerSecond float64       // Prefill rate.
-	Wait            time.Duration // Time until a new request's prefill starts, the batch aside.
+	Up            bool
+	Incarnation   string
+	Weights       string
+	Running       int // Requests in prefill or in the batch.
+	Waiting       int // Requests not yet in prefill.
+	WaitingTokens int // Prompt tokens that the accepted requests still have to compute.
+	CachedTokens  int // Tokens of the asked keys that are in the cache.
 }
 
 // State returns the exact state of the engine now, and how much of the prompt
@@ -177,22 +173,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
-	waiting := e.scheduler.waitingTokens(e.settings.clock.Now())
 	return State{
-		Up:              !e.down && !e.loading && e.frozen == nil,
-		Incarnation:     e.incarnation,
-		Weights:         e.weights,
-		Running:         e.scheduler.running(),
-		Waiting:         len(e.scheduler.waiting),
-		WaitingTokens:   waiting,
-		CachedTokens:    e.scheduler.cache.depth(keys) * amrprompt.TokensPerBlock,
-		ExpectedTokens:  e.scheduler.expectedDepth(keys) * amrprompt.TokensPerBlock,
-		BatchLimit:      e.settings.batchLimit,
-		TokensPerSecond: e.settings.prefillRate * e.settings.timeScale,
-		Wait:            e.settings.prefillTime(waiting),
+		Up:            e.up(),
+		Incarnation:   e.incarnation,
+		Weights:       e.weights,
+		Running:       e.scheduler.running(),
+		Waiting:       len(e.scheduler.waiting),
+		WaitingTokens: e.scheduler.waitingTokens(e.settings.clock.Now()),
+		CachedTokens:  e.scheduler.cache.depth(keys) * amrprompt.TokensPerBlock,
 	}
 }
 
+// up reports whether the engine takes requests. The caller holds mu.
+func (e *Engine) up() bool {
+	return !e.down && !e.loading && e.frozen == nil
+}
+
 // CachedDepth returns how many of the keys, from the first on, are cached.
 func (e *Engine) CachedDepth(keys []amrprompt.Key) int {
 	e.mu.Lock()
--- a/standin/amrengine/engine_test.go
+++ b/standin/amrengine/engine_test.go
@@ -125,6 +125,9 @@
 	case "log":
 		synctest.Wait()
 		return h.log(h.engine(d))
+	case "forecast":
+		synctest.Wait()
+		return h.forecast(d)
 	case "state":
 		synctest.Wait()
 		return h.state(d)
@@ -155,27 +158,44 @@
 	}
 }
 
-// complete sends a request whose prompt is made of named blocks.
-func (h *harness) complete(d *datadriven.TestData) {
+// promptOf returns a prompt made of named blocks, and its keys.
+func promptOf(blocks, suffix, weights string) (string, []amrprompt.Key) {
 	var prompt strings.Builder
-	for _, name := range strings.Split(argument(d, "blocks", ""), ",") {
+	for _, name := range strings.Split(blocks, ",") {
 		if name != "" {
 			prompt.WriteString(strings.Repeat(name, amrprompt.BytesPerBlock/len(name)+1)[:amrprompt.BytesPerBlock])
 		}
 	}
-	prompt.WriteString(argument(d, "suffix", ""))
-	weights := argument(d, "weights", "w1")
+	prompt.WriteString(suffix)
 	scope := amrprompt.Scope{Team: "recife", Deployment: "m1", WeightsVersion: weights}
+	return prompt.String(), amrprompt.Keys(scope, prompt.String())
+}
+
+func (h *harness) forecast(d *datadriven.TestData) string {
+	var pending []Pending
+	if blocks := argument(d, "pending", ""); blocks != "" {
+		prompt, keys := promptOf(blocks, "", "w1")
+		pending = append(pending, Pending{Keys: keys, PromptTokens: amrprompt.Tokens(prompt)})
+	}
+	_, keys := promptOf(argument(d, "blocks", ""), "", "w1")
+	wait, blocks, up := h.engine(d).Forecast(pending, keys)
+	return fmt.Sprintf("wait=%v blocks=%d up=%v", wait, blocks, up)
+}
+
+// complete sends a request whose prompt is made of named blocks.
+func (h *harness) complete(d *datadriven.TestData) {
+	weights := argument(d, "weights", "w1")
+	prompt, keys := promptOf(argument(d, "blocks", ""), argument(d, "suffix", ""), weights)
 	body := completionRequest{
 		RequestID:      argument(d, "id", ""),
-		Prompt:         prompt.String(),
+		Prompt:         prompt,
 		MaxTokens:      number[int](d, "max-tokens", 2),
 		Stream:         argument(d, "stream", "false") == "true",
 		Priority:       number[int](d, "priority", 0),
 		WeightsVersion: weights,
 		ResumeTokens:   number[int](d, "resume-tokens", 0),
 	}
-	for _, k := range amrprompt.Keys(scope, body.Prompt) {
+	for _, k := range keys {
 		body.BlockKeys = append(body.BlockKeys, hex.EncodeToString(k[:]))
 	}
 	data, err := json.Marshal(body)
@@ -227,8 +247,7 @@
 
 func (h *harness) state(d *datadriven.TestData) string {
 	s := h.engine(d).State(nil)
-	return fmt.Sprintf("up=%v weights=%s running=%d waiting=%d waiting-tokens=%d wait=%v", s.Up, s.Weights, s.Running, s.Waiting,
-		s.WaitingTokens, s.Wait)
+	return fmt.Sprintf("up=%v weights=%s running=%d waiting=%d waiting-tokens=%d", s.Up, s.Weights, s.Running, s.Waiting, s.WaitingTokens)
 }
 
 func (h *harness) engine(d *datadriven.TestData) *Engine {
--- a/standin/amrreplay/replay_test.go
+++ b/standin/amrreplay/replay_test.go
@@ -15,8 +15,8 @@
 	"amaranthreach.example/standin/amrtrace"
 )
 
-// recorded returns the idempotent requests of a recorded trace that are due
-// before the end.
+// recorded returns the requests of a recorded trace that are due before the
+// end.
 func recorded(t *testing.T, name string, end time.Duration) []amrtrace.Request {
 	t.Helper()
 	f, err := os.Open(filepath.Join("..", "testdata", "traces", name+".jsonl"))
@@ -30,7 +30,7 @@
 	}
 	var requests []amrtrace.Request
 	for _, r := range all {
-		if r.At < end && !r.Once {
+		if r.At < end {
 			requests = append(requests, r)
 		}
 	}
@@ -56,6 +56,7 @@
 	is.Equal(result.Requests, len(requests))
 	is.Equal(result.Answered, len(requests))
 	is.Equal(result.Lost, 0)
+	is.Equal(result.Doubled, 0)
 	ideal, err := replay.Run(t.Context(), PolicyIdeal)
 	is.NoErr(err)
 	is.True(result.HitRate > 0)
@@ -82,7 +83,7 @@
 	}
 }
 
-// TestReplayWithFaults checks that idempotent requests outlive failures.
+// TestReplayWithFaults checks that no request is lost or doubled by failures.
 func TestReplayWithFaults(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -98,6 +99,7 @@
 	result := runLate(t, replay, "cache-aware")
 	is.Equal(result.Answered+result.Refused, len(requests))
 	is.Equal(result.Details.Causes, Causes{Resent: result.Details.Causes.Resent})
+	is.Equal(result.Doubled, 0)
 	is.Equal(len(result.Details.Routers), 3) // Router 1 twice.
 }
 
