Place by cost, and admit through the queue in the sidecar

Cause: the thin path chose by hash alone and the sidecar took everything. Change: the router ranks with core/amrplace and sends a bound of cost with a request; the sidecar queues with core/amradmit, follows the engine's cache events and status, tells the true wait and depth when it declines, and tells routers of blocks that it stored for others. A decline for cost has the reason costs-less-elsewhere.

--- a/core/amradmit/admit.go
+++ b/core/amradmit/admit.go
@@ -53,7 +53,7 @@
 	case a.MaxWait > 0 && first > a.MaxWait && begin > 0:
 		return amrreason.Overloaded, max(first-a.MaxWait, shortestRetry)
 	case a.Bound.exceeded(begin, q.rate.duration(e.uncached)):
-		return amrreason.Overloaded, 0
+		return amrreason.CostsLessElsewhere, 0
 	}
 	return "", 0
 }
--- a/core/amrplace/holders.go
+++ b/core/amrplace/holders.go
@@ -124,8 +124,8 @@
 	}
 	s.settle(c)
 	p.report(now, s, l)
-	if promised := c.home - c.learned; promised > 0 {
-		kept := float64(cachedTokens/amrprompt.TokensPerBlock-c.learned) / float64(promised)
+	if promised := c.home - float64(c.learned); promised > 0 {
+		kept := float64(cachedTokens/amrprompt.TokensPerBlock-c.learned) / promised
 		p.trust += trustSmoothing * (min(max(kept, 0), 1) - p.trust)
 	}
 	return s
--- a/core/amrplace/load.go
+++ b/core/amrplace/load.go
@@ -47,9 +47,12 @@
 	pending  int // Tokens of own dispatches that have no reply yet.
 	inFlight int // Own dispatches without a reply.
 
-	mark          uint64 // The decision that the next fields belong to.
-	learned, home int
-	source        Source
+	dispatched uint64 // Decision that last sent it work.
+
+	mark    uint64 // The decision that the next fields belong to.
+	learned int
+	home    float64
+	source  Source
 }
 
 // Dispatched notes that the request goes to the candidate. A call of
@@ -61,6 +64,7 @@
 	}
 	s.pending += c.UncachedTokens
 	s.inFlight++
+	s.dispatched = p.decisions
 }
 
 // Failed notes that no reply came.
--- a/core/amrplace/place.go
+++ b/core/amrplace/place.go
@@ -14,6 +14,10 @@
 	// zoneDelay is what a backend server in another availability zone costs.
 	zoneDelay = 500 * time.Microsecond
 
+	// requestCost is what each request in progress costs one that has nothing
+	// to compute.
+	requestCost = time.Millisecond
+
 	// leastMargin is how much a candidate may at least cost above the next
 	// before it declines.
 	leastMargin = 10 * time.Millisecond
@@ -21,6 +25,10 @@
 	// marginShare is the margin as a share of the next candidate's cost.
 	marginShare = 0.1
 
+	// secondShare is what the second backend server of a key is promised to
+	// hold of what the first is.
+	secondShare = 0.8
+
 	// deepestHashed is the number of depths, from the deepest, at which keys
 	// are hashed to backend servers.
 	deepestHashed = 10
@@ -73,7 +81,9 @@
 }
 
 func (p *Placer) sortByCost() {
-	slices.SortFunc(p.ranked, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
+	slices.SortFunc(p.ranked, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.dispatched, b.dispatched))
+	})
 }
 
 // mark makes the backend server a candidate of this decision and reports
@@ -112,18 +122,18 @@
 		}
 		hashed++
 		first, second := p.view.top(keys[depth-1])
-		p.addHome(first, depth)
-		p.addHome(second, depth)
+		p.addHome(first, float64(depth))
+		p.addHome(second, secondShare*float64(depth))
 	}
 }
 
-func (p *Placer) addHome(position, depth int) {
+func (p *Placer) addHome(position int, promise float64) {
 	if position < 0 {
 		return
 	}
 	s := p.servers[position]
 	p.mark(s, SourceHash)
-	s.home = max(s.home, depth)
+	s.home = max(s.home, promise)
 }
 
 // hashedDepth reports whether keys at the depth are hashed: at 1, 2, 3, 4, 6,
@@ -150,8 +160,8 @@
 
 func (p *Placer) candidate(now time.Time, r Request, s *server) Candidate {
 	blocks := float64(s.learned)
-	if s.home > s.learned {
-		blocks += p.trust * float64(s.home-s.learned)
+	if s.home > blocks {
+		blocks += p.trust * (s.home - blocks)
 	}
 	cached := min(int(blocks*amrprompt.TokensPerBlock), r.PromptTokens)
 	c := Candidate{
@@ -160,9 +170,16 @@
 		Wait:           p.expectedWait(now, s),
 		CachedTokens:   cached,
 		UncachedTokens: r.PromptTokens - cached,
+		dispatched:     s.dispatched,
 		learned:        s.learned,
 		home:           s.home,
 	}
+	for _, k := range r.Known {
+		if k.Name == s.name {
+			c.Wait, c.CachedTokens, c.UncachedTokens = k.Wait, k.CachedTokens, r.PromptTokens-k.CachedTokens
+			c.learned, c.home = 0, 0
+		}
+	}
 	c.Cost = p.cost(r.Policy, s, c)
 	return c
 }
@@ -170,6 +187,9 @@
 func (p *Placer) cost(policy amrrecord.RoutingPolicy, s *server, c Candidate) time.Duration {
 	wait, recompute := Weights(policy)
 	cost := time.Duration(wait*float64(c.Wait) + recompute*float64(s.compute(c.UncachedTokens)))
+	if c.UncachedTokens == 0 {
+		cost += time.Duration(s.requests+s.inFlight) * requestCost
+	}
 	if p.zone != "" && s.zone != p.zone {
 		cost += zoneDelay
 	}
--- a/core/amrplace/placer.go
+++ b/core/amrplace/placer.go
@@ -105,6 +105,14 @@
 	PromptTokens int
 	Policy       amrrecord.RoutingPolicy
 	Excluded     []string // Backend servers that have refused or failed it.
+	Known        []Known  // What those that declined it for its cost have said.
+}
+
+// Known is what a backend server has said of a request.
+type Known struct {
+	Name         string
+	Wait         time.Duration // Until the prompt would be begun.
+	CachedTokens int
 }
 
 // Decision is the outcome of Place. It stays valid until the next call.
@@ -127,7 +135,10 @@
 	UncachedTokens int           // Expected to be computed.
 	Cost           time.Duration // Weighted by the policy.
 
-	learned, home int // Blocks known, and blocks promised by hashing.
+	dispatched uint64 // Decision that last sent it work.
+
+	learned int     // Blocks known to be cached.
+	home    float64 // Blocks promised by hashing.
 }
 
 // Source says why a backend server is a candidate.
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -24,6 +24,7 @@
 	"amaranthreach.example/core/amrexplain"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrledger"
+	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrserve"
 	"amaranthreach.example/router/gen/callers"
@@ -46,7 +47,8 @@
 	follower    *amrconfig.Follower
 	platform    platform
 	gates       *gates
-	chooser     *chooser
+	placement   *placement
+	placing     []amrplace.Option
 	decisions   *decisions
 	sidecars    *sidecars
 	retries     *retries
@@ -93,6 +95,11 @@
 	return func(r *Router) { r.platform = platform }
 }
 
+// WithPlacing adds options of the placers.
+func WithPlacing(options ...amrplace.Option) Option {
+	return func(r *Router) { r.placing = append(r.placing, options...) }
+}
+
 // New returns a router that does not run yet.
 func New(settings Settings, options ...Option) (*Router, error) {
 	r := &Router{
@@ -112,7 +119,7 @@
 	}
 	r.metrics = newMetrics(r.registry)
 	r.gates = newGates(config)
-	r.chooser = newChooser()
+	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.placing)
 	r.sidecars = newSidecars()
 	r.retries = newRetries()
 	if r.platform == nil {
@@ -186,7 +193,6 @@
 
 // observe notes what a sidecar said of itself.
 func (r *Router) observe(name string, load *amrgate.Load) {
-	r.chooser.observe(name, load)
 	r.sidecars.observe(name, load, r.clock.Now())
 	r.follower.Heard(load.GetRevision())
 }
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -29,6 +29,7 @@
 	router     *Router
 	request    *request
 	decision   *decision
+	choice     *choice
 	candidates []candidate
 	tried      int
 	once       *once // Nil for idempotent work.
@@ -69,11 +70,13 @@
 }
 
 func (r *Router) newSession(q *request) *session {
-	ranked := r.chooser.rank(q.set, q.deployment, q.keys)
+	choice := newChoice(r.placement, q)
+	ranked := choice.plan.candidates
 	s := &session{
 		router:     r,
 		request:    q,
 		decision:   r.decisions.begin(q, ranked, r.clock.Now()),
+		choice:     choice,
 		candidates: ranked,
 		relay:      amrstream.NewRelay(),
 		arrivals:   make(chan arrival),
@@ -113,10 +116,9 @@
 
 // close cancels the attempts in progress.
 func (s *session) close() {
-	for _, d := range s.live {
-		d.cancel()
+	for attempt := range s.live {
+		s.end(attempt)
 	}
-	clear(s.live)
 	s.expiry.Stop()
 	if s.hedge != nil {
 		s.hedge.Stop()
@@ -147,24 +149,25 @@
 // start dispatches the next attempt.
 func (s *session) start(ctx context.Context) {
 	left := s.request.deadline.Sub(s.router.clock.Now())
-	switch {
-	case left <= 0:
+	if left <= 0 {
 		s.step(amrstream.NotResumed{Reason: amrreason.DeadlineExceeded, Ran: amrreason.NotRun})
 		return
-	case s.tried >= len(s.candidates) && s.last == nil:
-		s.last = refuse(amrreason.NoBackendServer, s.request.deployment).withRetryAfter(time.Second)
-		fallthrough
-	case s.tried >= len(s.candidates):
+	}
+	server, ok := s.choice.next()
+	if !ok {
+		if s.last == nil {
+			s.last = refuse(amrreason.NoBackendServer, s.request.deployment).withRetryAfter(time.Second)
+		}
 		s.step(amrstream.NotResumed{Reason: s.last.reason, Ran: s.last.ran})
 		return
 	}
-	server := s.candidates[s.tried]
 	s.tried++
 	attempt := uint32(s.tried)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	s.live[attempt] = &dispatch{server: server, cancel: cancel}
 	s.step(amrstream.Started{Attempt: attempt})
 	message := s.message(attempt, left)
+	s.choice.fill(message)
 	s.pumps.Go(func() error {
 		s.pump(ctx, server, message)
 		return nil
@@ -244,7 +247,7 @@
 // startHedge makes a second attempt beside a first one that has given nothing
 // yet, within the budget of hedges.
 func (s *session) startHedge(ctx context.Context) {
-	if s.relay.Relayed() > 0 || len(s.live) != 1 || s.tried >= len(s.candidates) || s.tried >= s.maxAttempts() {
+	if s.relay.Relayed() > 0 || len(s.live) != 1 || s.tried >= s.maxAttempts() || !s.choice.more() {
 		return
 	}
 	if s.router.retries.spendHedge(s.router.clock.Now()) {
@@ -263,6 +266,7 @@
 		return
 	}
 	s.router.observe(d.server.name, a.reply.GetLoad())
+	s.choice.observe(d.server.name, a.reply)
 	switch event := a.reply.GetEvent().(type) {
 	case *amrgate.DispatchReply_Accepted:
 		s.decision.accepted(d.server.name, event.Accepted)
@@ -286,6 +290,7 @@
 // broken ends an attempt whose stream broke off.
 func (s *session) broken(attempt uint32, d *dispatch, err error) {
 	s.router.sidecars.forget(d.server.name)
+	s.choice.exclude(d.server.name)
 	if isDialError(err) {
 		s.fail(attempt, d, refuse(amrreason.EngineUnavailable, d.server.name), false)
 		return
@@ -306,6 +311,7 @@
 func (s *session) end(attempt uint32) {
 	if d := s.live[attempt]; d != nil {
 		d.cancel()
+		s.choice.ended(d.server.name)
 		delete(s.live, attempt)
 	}
 }
@@ -336,13 +342,16 @@
 // resume decides whether another attempt is made.
 func (s *session) resume(a amrstream.Resume) {
 	s.resumeText, s.resumeTokens = a.Text, a.Tokens
+	if a.Reason == amrreason.CostsLessElsewhere {
+		return // The choice bounds these; they cost no retry.
+	}
 	policy := amrretry.Policy{
 		MaxAttempts: s.maxAttempts(),
 		Deadline:    s.request.deadline,
 		MinTimeLeft: minTimeLeft,
 		Idempotent:  true,
 	}
-	outcome := amrretry.Outcome{Attempts: s.tried, Reason: a.Reason, Ran: a.Ran, Declined: s.declined}
+	outcome := amrretry.Outcome{Attempts: s.tried - s.choice.costly, Reason: a.Reason, Ran: a.Ran, Declined: s.declined}
 	if gaveUp, ok := s.router.retries.decide(s.router.clock.Now(), policy, outcome).(amrretry.GiveUp); ok {
 		s.step(amrstream.NotResumed{Reason: gaveUp.Reason, Ran: gaveUp.Ran})
 	}
@@ -395,7 +404,6 @@
 		ResumeText:       s.resumeText,
 		ResumeTokens:     uint32(s.resumeTokens),
 		ServiceCall:      q.call,
-		ReportIntervalMs: 50,
 	}
 }
 
--- a/sidecar/amrsidecar/admission.go
+++ b/sidecar/amrsidecar/admission.go
@@ -2,116 +2,214 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/jonboulle/clockwork"
 
+	"amaranthreach.example/core/amradmit"
+	"amaranthreach.example/core/amrcache"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 )
 
-const (
-	admissionLimit = 512  // Requests in progress.
-	indexBlocks    = 4096 // Blocks remembered.
-	prefillRate    = 20000
-)
-
-// admission accepts dispatches and estimates their wait.
+// admission accepts dispatches, estimates their wait and decides when they
+// run. It is the shell of an amradmit.Queue.
 type admission struct {
-	mu      sync.Mutex
-	running int
-	waiting int // Uncached tokens accepted and not yet computed.
-	blocks  *lru.Cache[amrprompt.Key, struct{}]
+	clock clockwork.Clock
+
+	mu          sync.Mutex
+	queue       *amradmit.Queue
+	index       *amrcache.Index
+	journal     amrcache.Journal
+	tickets     map[string]*ticket
+	incarnation string
 }
 
-// ticket is an accepted dispatch.
+// ticket is a dispatch that was accepted or declined.
 type ticket struct {
+	id           string
+	router       string
 	keys         []amrprompt.Key
 	wait         time.Duration
+	retryAfter   time.Duration
 	cachedTokens int
-	uncached     int
+	decided      chan struct{} // Closed when it may run or was dismissed.
+	dismissed    amrreason.Code
 	computed     bool
 }
 
-func newAdmission() *admission {
-	blocks, err := lru.New[amrprompt.Key, struct{}](indexBlocks)
-	if err != nil {
-		panic(err) // Only for a size below one.
+func newAdmission(clock clockwork.Clock) *admission {
+	index := amrcache.New()
+	return &admission{
+		clock:   clock,
+		queue:   amradmit.New(index),
+		index:   index,
+		tickets: make(map[string]*ticket),
 	}
-	return &admission{blocks: blocks}
 }
 
 func (a *admission) enter(request *amrgate.DispatchRequest) (*ticket, amrreason.Code) {
+	t := &ticket{
+		id:      fmt.Sprintf("%s/%d", request.GetRequestId(), request.GetAttempt()),
+		router:  request.GetRouter(),
+		keys:    amrprompt.Unpack(request.GetBlockKeys()),
+		decided: make(chan struct{}),
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	t := &ticket{keys: amrprompt.Unpack(request.GetBlockKeys())}
-	t.cachedTokens = a.depth(t.keys) * amrprompt.TokensPerBlock
-	t.uncached = max(int(request.GetPromptTokens())-t.cachedTokens, 0)
-	t.wait = time.Duration(a.waiting+t.uncached) * time.Second / prefillRate
-	if a.running >= admissionLimit {
-		return t, amrreason.Overloaded
+	for _, action := range a.queue.Handle(a.clock.Now(), arrival(t, request)) {
+		switch action := action.(type) {
+		case amradmit.Accept:
+			t.wait, t.cachedTokens = action.Wait, action.CachedTokens
+			a.tickets[t.id] = t
+		case amradmit.Decline:
+			t.wait, t.cachedTokens, t.retryAfter = action.Wait, action.CachedTokens, action.RetryAfter
+			return t, action.Reason
+		default:
+			a.carryOut(action)
+		}
 	}
-	a.running++
-	a.waiting += t.uncached
 	return t, ""
 }
 
+func arrival(t *ticket, request *amrgate.DispatchRequest) amradmit.Arrive {
+	return amradmit.Arrive{
+		Request: amradmit.Request{
+			ID:           t.id,
+			Team:         request.GetTeam(),
+			TeamWeight:   int(request.GetTeamWeight()),
+			Priority:     int(request.GetPriority()),
+			Keys:         t.keys,
+			PromptTokens: int(request.GetPromptTokens() + request.GetResumeTokens()),
+			Isolated:     request.GetIsolated(),
+		},
+		TimeLeft: time.Duration(request.GetDeadlineMs()) * time.Millisecond,
+		MaxWait:  time.Duration(request.GetMaxWaitMs()) * time.Millisecond,
+		Bound: amradmit.Bound{
+			Cost:            time.Duration(request.GetMaxCostMs()) * time.Millisecond,
+			WaitWeight:      request.GetWaitWeight(),
+			RecomputeWeight: request.GetRecomputeWeight(),
+		},
+	}
+}
+
 // wait blocks until the ticket may run.
-func (a *admission) wait(ctx context.Context, _ *ticket) error {
-	return ctx.Err()
+func (a *admission) wait(ctx context.Context, t *ticket) error {
+	select {
+	case <-t.decided:
+	case <-ctx.Done():
+		return failure{reason: amrreason.DeadlineExceeded, ran: amrreason.NotRun}
+	}
+	if t.dismissed != "" {
+		return failure{reason: t.dismissed, ran: amrreason.NotRun}
+	}
+	return nil
 }
 
 // progressed notes a piece of the answer: the prompt is computed.
 func (a *admission) progressed(t *ticket) {
+	if t.computed {
+		return
+	}
+	t.computed = true
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.compute(t)
+	a.journal.Add(t.router, t.keys[a.index.Depth(t.keys):])
+	a.handle(amradmit.Computed{ID: t.id})
 }
 
-func (a *admission) finished(t *ticket, _ result) {
+func (a *admission) finished(t *ticket, r result) {
 	a.progressed(t)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.handle(amradmit.Finished{ID: t.id, CachedTokens: r.cachedTokens, Known: r.promptTokens > 0})
+	delete(a.tickets, t.id)
 }
 
+// leave ends a ticket that did not finish.
 func (a *admission) leave(t *ticket) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.running--
-	if !t.computed {
-		a.waiting -= t.uncached
-	}
+	a.handle(amradmit.Canceled{ID: t.id})
+	delete(a.tickets, t.id)
 }
 
-func (a *admission) load() *amrgate.Load {
+// observe takes the state of the backend server.
+func (a *admission) observe(s backendState) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	wait := time.Duration(a.waiting) * time.Second / prefillRate
-	return &amrgate.Load{Running: uint32(a.running), WaitingTokens: uint64(a.waiting), WaitMs: wait.Milliseconds()}
+	if s.incarnation != "" && s.incarnation != a.incarnation {
+		if a.incarnation != "" {
+			a.handle(amradmit.EngineLost{})
+		}
+		a.incarnation = s.incarnation
+		a.index.Restarted(s.incarnation)
+	}
+	a.index.SetCapacity(s.cacheBlocks)
+	a.handle(amradmit.EngineState{BatchLimit: s.batchLimit, PrefillRate: float64(s.prefillRate), Away: !s.ready})
 }
 
-func (a *admission) cachedBlocks(keys []amrprompt.Key) int {
+// apply takes cache events and returns the number of the last one known.
+func (a *admission) apply(incarnation string, events []amrcache.Event) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.depth(keys)
+	a.index.Apply(incarnation, events)
+	return a.index.Seq()
 }
 
-func (a *admission) compute(t *ticket) {
-	if t.computed {
-		return
+func (a *admission) handle(event amradmit.Event) {
+	for _, action := range a.queue.Handle(a.clock.Now(), event) {
+		a.carryOut(action)
 	}
-	t.computed = true
-	a.waiting -= t.uncached
-	for _, key := range t.keys {
-		a.blocks.Add(key, struct{}{})
+}
+
+func (a *admission) carryOut(action amradmit.Action) {
+	switch action := action.(type) {
+	case amradmit.Run:
+		a.decide(action.ID, "")
+	case amradmit.Expire:
+		a.decide(action.ID, action.Reason)
 	}
 }
 
-func (a *admission) depth(keys []amrprompt.Key) int {
-	for i, key := range keys {
-		if _, ok := a.blocks.Get(key); !ok {
-			return i
-		}
+func (a *admission) decide(id string, dismissed amrreason.Code) {
+	t := a.tickets[id]
+	if t == nil {
+		return
 	}
-	return len(keys)
+	t.dismissed = dismissed
+	close(t.decided)
+}
+
+// load returns the load as a router should hear it, with at most the given
+// number of blocks that were stored for others.
+func (a *admission) load(router string, stored int) *amrgate.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.queue.Load(a.clock.Now())
+	load := &amrgate.Load{
+		Running:                uint32(l.Running),
+		Queued:                 uint32(l.Queued),
+		WaitingTokens:          uint64(l.WaitingTokens),
+		WaitMs:                 l.Wait.Milliseconds(),
+		BatchLimit:             uint32(l.BatchLimit),
+		PrefillTokensPerSecond: uint32(l.PrefillRate),
+	}
+	if stored > 0 {
+		load.Stored = a.journal.Read(router, stored)
+	}
+	return load
+}
+
+// cost returns the wait of a request that arrives now and how many of its
+// leading blocks will be cached by then.
+func (a *admission) cost(keys []amrprompt.Key) (wait time.Duration, blocks int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.queue.Load(a.clock.Now())
+	tokens := time.Duration(float64(l.WaitingTokens) / l.PrefillRate * float64(time.Second))
+	return max(l.Wait, tokens), a.index.ExpectedDepth(keys)
 }
--- a/sidecar/amrsidecar/backend.go
+++ b/sidecar/amrsidecar/backend.go
@@ -44,6 +44,7 @@
 	incarnation    string
 	weightsVersion string
 	batchLimit     int
+	cacheBlocks    int
 	prefillRate    int // In tokens per second.
 }
 
--- a/sidecar/amrsidecar/engine.go
+++ b/sidecar/amrsidecar/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrprompt"
@@ -27,6 +28,8 @@
 	doneMarker     = "[DONE]"
 )
 
+var errNotReady = errors.New("the engine is not ready; wait")
+
 // engine is a model engine beside the sidecar.
 type engine struct {
 	url    string
@@ -34,13 +37,15 @@
 	clock  clockwork.Clock
 	log    *slog.Logger
 
+	observer engineObserver
+
 	mu    sync.Mutex
 	known backendState
 }
 
-func newEngine(url string, clock clockwork.Clock, log *slog.Logger) *engine {
+func newEngine(url string, clock clockwork.Clock, log *slog.Logger, observer engineObserver) *engine {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
-	return &engine{url: url, client: &http.Client{Transport: transport}, clock: clock, log: log}
+	return &engine{url: url, client: &http.Client{Transport: transport}, clock: clock, log: log, observer: observer}
 }
 
 type completionRequest struct {
@@ -73,6 +78,7 @@
 	WeightsVersion         string `json:"weights_version"`
 	BatchLimit             int    `json:"batch_limit"`
 	PrefillTokensPerSecond int    `json:"prefill_tokens_per_second"`
+	CapacityBlocks         int    `json:"capacity_blocks"`
 }
 
 func (e *engine) run(ctx context.Context, request *amrgate.DispatchRequest, relay func(piece) error) (result, error) {
@@ -185,8 +191,10 @@
 
 func (e *engine) setReady(ready bool) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.known.ready = ready
+	known := e.known
+	e.mu.Unlock()
+	e.observer.observe(known)
 }
 
 func (e *engine) state() backendState {
@@ -195,7 +203,15 @@
 	return e.known
 }
 
+// watch follows the engine's status and cache events until ctx is done.
 func (e *engine) watch(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.followEvents(ctx) })
+	group.Go(func() error { return e.followStatus(ctx) })
+	return group.Wait()
+}
+
+func (e *engine) followStatus(ctx context.Context) error {
 	ticker := e.clock.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for {
@@ -217,18 +233,22 @@
 		}
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.known.incarnation != status.Incarnation {
-		e.log.Info("engine-incarnation", "incarnation", status.Incarnation)
-	}
-	e.known = backendState{
+	known := backendState{
 		ready:          true,
 		incarnation:    status.Incarnation,
 		weightsVersion: status.WeightsVersion,
 		batchLimit:     status.BatchLimit,
+		cacheBlocks:    status.CapacityBlocks,
 		prefillRate:    status.PrefillTokensPerSecond,
 	}
+	e.mu.Lock()
+	old := e.known.incarnation
+	e.known = known
+	e.mu.Unlock()
+	if old != known.incarnation {
+		e.log.Info("engine-incarnation", "incarnation", known.incarnation)
+	}
+	e.observer.observe(known)
 }
 
 func (e *engine) fetchStatus(ctx context.Context) (engineStatus, error) {
@@ -244,7 +264,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return engineStatus{}, errors.New("the engine is not ready; wait")
+		return engineStatus{}, errNotReady
 	}
 	var status engineStatus
 	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status)
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -14,6 +14,9 @@
 	"amaranthreach.example/core/amrreason"
 )
 
+// maxStored is how many stored blocks one load may tell of.
+const maxStored = 64
+
 // gate serves routers.
 type gate struct {
 	amrgate.DRPCGateUnimplementedServer
@@ -34,7 +37,7 @@
 func newGate(s *Sidecar) *gate {
 	g := &gate{
 		sidecar:   s,
-		admission: newAdmission(),
+		admission: newAdmission(s.clock),
 		metrics:   newMetrics(s.registry),
 		claims:    newClaims(s.incarnation, s.clock),
 		idleCh:    make(chan struct{}),
@@ -42,8 +45,9 @@
 	switch s.settings.BackendType {
 	case BackendService:
 		g.backend = newService(s.settings.BackendURL)
+		g.admission.observe(g.backend.state())
 	default:
-		g.backend = newEngine(s.settings.BackendURL, s.clock, s.log)
+		g.backend = newEngine(s.settings.BackendURL, s.clock, s.log, g.admission)
 	}
 	return g
 }
@@ -52,7 +56,7 @@
 func (g *gate) Dispatch(request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) error {
 	attempt := newAttempt(g, request, stream)
 	if reason := g.enter(request.GetRevision()); reason != "" {
-		return attempt.decline(reason, 0, 0)
+		return attempt.decline(reason, &ticket{})
 	}
 	defer g.leave()
 	ctx := stream.Context()
@@ -60,7 +64,7 @@
 		ok, reason, ran := g.claims.begin(claim)
 		switch {
 		case !ok && ran == amrreason.NotRun:
-			return attempt.decline(reason, 0, 0)
+			return attempt.decline(reason, &ticket{})
 		case !ok:
 			return attempt.fail(failure{reason: reason, ran: ran})
 		}
@@ -74,8 +78,8 @@
 
 // Report returns the state of the sidecar.
 func (g *gate) Report(_ context.Context, request *amrgate.ReportRequest) (*amrgate.ReportReply, error) {
-	depth := g.admission.cachedBlocks(amrprompt.Unpack(request.GetBlockKeys()))
-	return &amrgate.ReportReply{Load: g.load(), CachedBlocks: uint32(depth)}, nil
+	_, depth := g.admission.cost(amrprompt.Unpack(request.GetBlockKeys()))
+	return &amrgate.ReportReply{Load: g.load("", 0), CachedBlocks: uint32(depth)}, nil
 }
 
 // Drain starts or ends draining.
@@ -84,14 +88,14 @@
 	return &amrgate.DrainReply{InFlight: uint32(g.inFlight())}, nil
 }
 
-func (g *gate) load() *amrgate.Load {
+// load returns the load as a router should hear it, with at most the given
+// number of blocks that were stored for others.
+func (g *gate) load(router string, stored int) *amrgate.Load {
 	state := g.backend.state()
-	load := g.admission.load()
+	load := g.admission.load(router, stored)
 	load.SidecarIncarnation = g.sidecar.incarnation
 	load.ClockMs = g.claims.now().Milliseconds()
 	load.EngineIncarnation = state.incarnation
-	load.BatchLimit = uint32(state.batchLimit)
-	load.PrefillTokensPerSecond = uint32(state.prefillRate)
 	load.WeightsVersion = state.weightsVersion
 	load.Ready = state.ready
 	g.mu.Lock()
@@ -183,7 +187,7 @@
 func (a *attempt) run(ctx context.Context) error {
 	ticket, refused := a.gate.admission.enter(a.request)
 	if refused != "" {
-		return a.decline(refused, ticket.wait, ticket.cachedTokens)
+		return a.decline(refused, ticket)
 	}
 	defer a.gate.admission.leave(ticket)
 	err := a.send(&amrgate.DispatchReply{
@@ -191,13 +195,13 @@
 			WaitMs:       ticket.wait.Milliseconds(),
 			CachedTokens: uint32(ticket.cachedTokens),
 		}},
-		Load: a.gate.load(),
+		Load: a.load(),
 	})
 	if err != nil {
 		return err
 	}
 	if err := a.gate.admission.wait(ctx, ticket); err != nil {
-		return a.fail(failure{reason: amrreason.DeadlineExceeded, ran: amrreason.NotRun})
+		return a.fail(failureOf(ctx, err))
 	}
 	end, err := a.gate.backend.run(ctx, a.request, func(p piece) error {
 		a.gate.admission.progressed(ticket)
@@ -227,7 +231,7 @@
 	interval := time.Duration(a.request.GetReportIntervalMs()) * time.Millisecond
 	if now := a.gate.sidecar.clock.Now(); interval > 0 && now.Sub(a.reported) >= interval {
 		a.reported = now
-		reply.Load = a.gate.load()
+		reply.Load = a.load()
 	}
 	return a.send(reply)
 }
@@ -249,11 +253,11 @@
 			Status:           int32(end.status),
 			ContentType:      end.contentType,
 		}},
-		Load: a.gate.load(),
+		Load: a.load(),
 	})
 }
 
-func (a *attempt) decline(reason amrreason.Code, wait time.Duration, cachedTokens int) error {
+func (a *attempt) decline(reason amrreason.Code, t *ticket) error {
 	if a.claim != nil {
 		a.claim.failed(amrreason.NotRun)
 	}
@@ -261,11 +265,11 @@
 	return a.send(&amrgate.DispatchReply{
 		Event: &amrgate.DispatchReply_Declined{Declined: &amrgate.Declined{
 			Reason:       string(reason),
-			WaitMs:       wait.Milliseconds(),
-			RetryAfterMs: wait.Milliseconds(),
-			CachedTokens: uint32(cachedTokens),
+			WaitMs:       t.wait.Milliseconds(),
+			RetryAfterMs: t.retryAfter.Milliseconds(),
+			CachedTokens: uint32(t.cachedTokens),
 		}},
-		Load: a.gate.load(),
+		Load: a.load(),
 	})
 }
 
@@ -281,11 +285,16 @@
 			Ran:        string(f.ran),
 			EngineLost: f.reason == amrreason.EngineLost,
 		}},
-		Load: a.gate.load(),
+		Load: a.load(),
 	})
 }
 
 // send sends a reply. A claim goes on when its router is gone.
+// load returns the load as the dispatching router should hear it.
+func (a *attempt) load() *amrgate.Load {
+	return a.gate.load(a.request.GetRouter(), int(min(a.request.GetMaxStored(), maxStored)))
+}
+
 func (a *attempt) send(reply *amrgate.DispatchReply) error {
 	err := a.stream.Send(reply)
 	if a.claim != nil {
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrserve"
 )
 
@@ -128,6 +129,12 @@
 	return s.incarnation
 }
 
+// Cost returns the wait of a request that arrives now and how many of its
+// leading blocks will be cached by then.
+func (s *Sidecar) Cost(keys []amrprompt.Key) (wait time.Duration, blocks int) {
+	return s.gate.admission.cost(keys)
+}
+
 func (s *Sidecar) listen() error {
 	var err error
 	if s.listeners.Gate == nil {
