--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -208,6 +208,7 @@
 		return a.chunk(p)
 	})
 	if err != nil {
+		a.gate.admission.leave(ticket) // So that the reply's load is without it.
 		return a.fail(failureOf(ctx, err))
 	}
 	a.gate.admission.finished(ticket, end)
