Hold team limits over all routers by shares

A team's accountant, one router chosen by rendezvous hashing, gives each router a share of the team's limits by demand.

--- /dev/null
+++ b/core/amrlimit/limit_test.go
@@ -0,0 +1,234 @@
+package amrlimit_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrlimit"
+)
+
+const (
+	routers = 12
+	step    = 5 * time.Millisecond
+)
+
+// fleet is a number of routers that tell their accountants at once what they
+// use.
+type fleet struct {
+	now      time.Time
+	random   *rand.Rand
+	names    []string
+	limiters map[string]*amrlimit.Limiter
+	accounts map[string]*amrlimit.Accounts
+	dead     map[string]bool
+	messages int
+	entries  int
+	running  map[time.Time][]string // Routers whose requests end, by time.
+	inFlight int
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{
+		now:      time.Unix(1e9, 0),
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		limiters: map[string]*amrlimit.Limiter{},
+		accounts: map[string]*amrlimit.Accounts{},
+		dead:     map[string]bool{},
+		running:  map[time.Time][]string{},
+	}
+	for i := range routers {
+		f.names = append(f.names, fmt.Sprint("router-", i))
+	}
+	for _, name := range f.names {
+		f.limiters[name] = amrlimit.NewLimiter(name)
+		f.limiters[name].SetRouters(f.names)
+		f.accounts[name] = &amrlimit.Accounts{}
+	}
+	return f
+}
+
+// tick passes one step of time and carries the reports.
+func (f *fleet) tick() {
+	f.now = f.now.Add(step)
+	for _, name := range f.running[f.now] {
+		f.limiters[name].Release("big", 100, 100)
+		f.inFlight--
+	}
+	delete(f.running, f.now)
+	for _, name := range f.names {
+		if f.dead[name] {
+			continue
+		}
+		for to, usages := range f.limiters[name].Reports(f.now) {
+			f.messages++
+			f.entries += len(usages)
+			if f.dead[to] {
+				continue
+			}
+			f.limiters[name].Granted(f.now, f.accounts[to].Report(f.now, name, usages))
+		}
+		f.accounts[name].Expire(f.now)
+	}
+}
+
+// arrivals is the rate at which requests come to each router.
+type arrivals func(second int) [routers]float64
+
+// run plays the arrivals for the time and returns how many requests were
+// admitted, and the highest number in flight.
+func (f *fleet) run(d time.Duration, limits amrlimit.Amounts, takes time.Duration, rates arrivals) (admitted, offered, highest int) {
+	for i := range int(d / step) {
+		f.tick()
+		for r, rate := range rates(int(time.Duration(i) * step / time.Second)) {
+			name := f.names[r]
+			if f.dead[name] || f.random.Float64() >= rate*step.Seconds() {
+				continue
+			}
+			offered++
+			if !f.limiters[name].Admit(f.now, "big", limits, 100).Admitted {
+				continue
+			}
+			admitted++
+			f.inFlight++
+			end := f.now.Add(takes)
+			f.running[end] = append(f.running[end], name)
+			highest = max(highest, f.inFlight)
+		}
+	}
+	return admitted, offered, highest
+}
+
+// skewed sends most of the requests to the first routers.
+func skewed(total float64) arrivals {
+	return func(int) [routers]float64 {
+		var rates [routers]float64
+		sum := 0.0
+		for i := range rates {
+			rates[i] = math.Pow(0.5, float64(i))
+			sum += rates[i]
+		}
+		for i := range rates {
+			rates[i] *= total / sum
+		}
+		return rates
+	}
+}
+
+// moving sends most of the requests to another router every ten seconds.
+func moving(total float64) arrivals {
+	return func(second int) [routers]float64 {
+		var rates [routers]float64
+		for i := range rates {
+			rates[i] = 0.2 * total / (routers - 1)
+		}
+		rates[second/10%routers] = 0.8 * total
+		return rates
+	}
+}
+
+// TestTotal holds the total of a team over 12 routers within 10% of its limit
+// over 10 s, whatever the skew.
+func TestTotal(t *testing.T) {
+	const (
+		rate   = 100.0
+		tokens = 10000.0 // 100 for each request.
+		window = 10 * time.Second
+		within = 0.1
+	)
+	tests := map[string]struct {
+		limits amrlimit.Amounts
+		rates  arrivals
+	}{
+		"requests skewed":  {amrlimit.Amounts{amrlimit.Requests: rate}, skewed(3 * rate)},
+		"requests moving":  {amrlimit.Amounts{amrlimit.Requests: rate}, moving(3 * rate)},
+		"tokens skewed":    {amrlimit.Amounts{amrlimit.Tokens: tokens}, skewed(3 * rate)},
+		"just over":        {amrlimit.Amounts{amrlimit.Requests: rate}, skewed(1.3 * rate)},
+		"both dimensions":  {amrlimit.Amounts{amrlimit.Requests: rate, amrlimit.Tokens: 2 * tokens}, skewed(3 * rate)},
+		"small team":       {amrlimit.Amounts{amrlimit.Requests: 10}, skewed(50)},
+		"one router alone": {amrlimit.Amounts{amrlimit.Requests: rate}, func(int) [routers]float64 { return [routers]float64{5: 3 * rate} }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			want := rate * window.Seconds()
+			if name == "small team" {
+				want = 10 * window.Seconds()
+			}
+			f := newFleet(1)
+			for n := range 4 {
+				admitted, offered, _ := f.run(window, test.limits, 50*time.Millisecond, func(s int) [routers]float64 { return test.rates(10*n + s) })
+				t.Logf("window %d: %d of %d admitted, %.1f%% off the limit", n, admitted, offered, 100*(float64(admitted)/want-1))
+				is.True(math.Abs(float64(admitted)/want-1) <= within)
+			}
+			t.Logf("%.2f messages for each router and second", float64(f.messages)/routers/(4*window.Seconds()))
+		})
+	}
+}
+
+// TestConcurrency holds the requests in flight within the limit.
+func TestConcurrency(t *testing.T) {
+	const limit = 40
+	is := is.New(t)
+	f := newFleet(1)
+	f.run(5*time.Second, amrlimit.Amounts{amrlimit.Concurrency: limit}, time.Second, skewed(200))
+	admitted, _, highest := f.run(10*time.Second, amrlimit.Amounts{amrlimit.Concurrency: limit}, time.Second, skewed(200))
+	t.Logf("%d in flight at most, %.1f on average", highest, float64(admitted)/10)
+	is.True(highest <= limit+limit/10)
+	is.True(float64(admitted)/10 >= limit*0.9)
+}
+
+// TestBelowLimit refuses nothing to a team that stays well below its limit.
+func TestBelowLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	limits := amrlimit.Amounts{amrlimit.Requests: 200, amrlimit.Concurrency: 400}
+	f.run(5*time.Second, limits, 50*time.Millisecond, skewed(60))
+	admitted, offered, _ := f.run(20*time.Second, limits, 50*time.Millisecond, skewed(60))
+	t.Logf("%d of %d admitted, %.2f messages for each router and second", admitted, offered, float64(f.messages)/routers/25)
+	is.True(float64(admitted) >= 0.99*float64(offered))
+}
+
+// TestAccountantDies keeps the total while the accountant is dead, also before
+// the others learn of it.
+func TestAccountantDies(t *testing.T) {
+	const (
+		rate   = 100.0
+		within = 0.1
+	)
+	is := is.New(t)
+	f := newFleet(1)
+	limits := amrlimit.Amounts{amrlimit.Requests: rate}
+	f.run(10*time.Second, limits, 50*time.Millisecond, skewed(3*rate))
+	gone := amrlimit.Accountant("big", f.names)
+	f.dead[gone] = true
+	unknown, _, _ := f.run(5*time.Second, limits, 50*time.Millisecond, skewed(3*rate))
+	is.True(float64(unknown) <= 5*rate*(1+within))
+
+	var left []string
+	for _, name := range f.names {
+		if !f.dead[name] {
+			left = append(left, name)
+		}
+	}
+	for _, name := range left {
+		f.limiters[name].SetRouters(left)
+	}
+	f.run(10*time.Second, limits, 50*time.Millisecond, skewed(3*rate))
+	admitted, _, _ := f.run(10*time.Second, limits, 50*time.Millisecond, skewed(3*rate))
+	t.Logf("%d admitted in 5 s without accountant, %d in 10 s with another", unknown, admitted)
+	is.True(math.Abs(float64(admitted)/(10*rate)-1) <= within)
+}
+
+func TestUnlimited(t *testing.T) {
+	is := is.New(t)
+	l := amrlimit.NewLimiter("router-0")
+	for range 1000 {
+		is.True(l.Admit(time.Unix(0, 0), "free", amrlimit.Amounts{}, 1).Admitted)
+	}
+	is.Equal(len(l.Reports(time.Unix(0, 0))), 0)
+}
