Let routers pull records, share limits and explain for each other

Routers find each other by the platform's host list and talk drpc: they pull records above a revision, give out shares of the teams' limits, and answer for decisions that another holds in memory. A refusal before dispatch says which deployment was asked for.

--- /dev/null
+++ b/core/amrpeer/doc.go
@@ -0,0 +1,5 @@
+// Package amrpeer is the protocol between routers: the generated messages and
+// the drpc client and server of the Peer service.
+package amrpeer
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- a/core/amrrecord/team.go
+++ b/core/amrrecord/team.go
@@ -1,5 +1,10 @@
 package amrrecord
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
 type teamSchema struct{}
 
 type teamWire struct {
@@ -51,3 +56,10 @@
 	}
 	return true
 }
+
+// KeyDigest returns the digest under which a team's record lists the bearer
+// key.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- a/router/amrrouter/callers.go
+++ b/router/amrrouter/callers.go
@@ -106,8 +106,11 @@
 	id := identity.id
 	c.team, _ = ctx.Value(teamKey{}).(string)
 	q, refused := s.router.newRequest(id, c)
+	if refused == nil {
+		refused = s.router.limits.admit(q)
+	}
 	if refused != nil {
-		return nil, nil, s.router.refused(id, c.team, refused)
+		return nil, nil, s.router.refused(id, c.team, refused.withDeployment(c.deployment))
 	}
 	started := s.router.clock.Now()
 	session := s.router.newSession(q)
@@ -133,7 +136,7 @@
 
 // refused records a refusal and returns it as the callers' interface sends it.
 func (r *Router) refused(id, team string, refused *refusal) *callers.Refusal {
-	r.decisions.refused(id, team, refused, r.clock.Now())
+	r.decisions.refused(id, team, refused, r.Revision(), r.clock.Now())
 	r.metrics.refusals.WithLabelValues(string(refused.reason), string(refused.ran)).Inc()
 	r.log.Info("request-refused", "request", id, "team", team, "reason", refused.reason, "ran", refused.ran, "detail", refused.detail)
 	return refused.message(id)
--- a/router/amrrouter/decisions.go
+++ b/router/amrrouter/decisions.go
@@ -25,14 +25,15 @@
 
 // decision is why a request goes where it goes, while it is in progress.
 type decision struct {
-	all *decisions
+	all     *decisions
+	release func(tokens int)
 
 	mu    sync.Mutex
 	value amrexplain.Decision
 }
 
 func (d *decisions) begin(q *request, ranked []candidate, now time.Time) *decision {
-	made := &decision{all: d, value: amrexplain.Decision{
+	made := &decision{all: d, release: q.release, value: amrexplain.Decision{
 		RequestID:  q.id,
 		Team:       q.team,
 		Deployment: q.deployment,
@@ -51,13 +52,13 @@
 	return made
 }
 
-// get returns the decision on a request in progress.
+// get returns a decision that is in memory.
 func (d *decisions) get(id string) (amrexplain.Decision, bool) {
 	d.mu.Lock()
 	running, ok := d.running[id]
 	d.mu.Unlock()
 	if !ok {
-		return amrexplain.Decision{}, false
+		return d.recorder.Get(id)
 	}
 	running.mu.Lock()
 	defer running.mu.Unlock()
@@ -65,7 +66,7 @@
 }
 
 // refused notes a request that was refused before a session began.
-func (d *decisions) refused(id, team string, refused *refusal, now time.Time) {
+func (d *decisions) refused(id, team string, refused *refusal, revision uint64, now time.Time) {
 	d.mu.Lock()
 	_, running := d.running[id]
 	d.mu.Unlock()
@@ -75,6 +76,8 @@
 	d.recorder.Add(amrexplain.Decision{
 		RequestID:  id,
 		Team:       team,
+		Deployment: bounded(refused.deployment),
+		Revision:   revision,
 		At:         now.UTC(),
 		Outcome:    amrexplain.Refused,
 		Reason:     refused.reason,
@@ -127,6 +130,9 @@
 	}
 	change(&d.value)
 	d.value.Took = now.Sub(d.value.At)
+	if d.release != nil {
+		d.release(int(d.value.PromptTokens + d.value.CompletionTokens))
+	}
 	d.all.recorder.Add(d.value)
 	d.all.mu.Lock()
 	defer d.all.mu.Unlock()
@@ -153,3 +159,9 @@
 	attempts = append(attempts, a)
 	d.value.Attempts = attempts
 }
+
+// bounded cuts a name that a caller sent to the length of a record's name.
+func bounded(name string) string {
+	const longest = 128
+	return name[:min(len(name), longest)]
+}
--- a/router/amrrouter/operator_status.go
+++ b/router/amrrouter/operator_status.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrpeer"
 	"amaranthreach.example/core/amrrecord"
 	"amaranthreach.example/router/gen/operators"
 )
@@ -17,32 +17,61 @@
 	statusCalls   = 64 // Sidecars asked at once.
 )
 
-// Status returns the state of the router and of the backend servers.
+// Status returns the state of the routers and the backend servers.
 func (s *operatorsService) Status(ctx context.Context, _ *operators.StatusPayload) (*operators.FleetStatus, error) {
 	r := s.router
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	set := r.follower.Current()
-	age := r.follower.Age().Round(time.Millisecond).String()
 	return &operators.FleetStatus{
-		Revision: set.Revision(),
-		Routers: []*operators.RouterStatus{{
-			Name:             r.settings.Name,
-			AvailabilityZone: r.settings.AvailabilityZone,
-			Incarnation:      &r.incarnation,
-			Ready:            r.Ready(),
-			Revision:         set.Revision(),
-			Age:              &age,
-		}},
+		Revision:       set.Revision(),
+		Routers:        s.routers(ctx),
 		BackendServers: s.backendServers(ctx, set),
 		ExplainPending: r.decisions.recorder.Pending(),
 		ExplainDropped: r.decisions.recorder.Dropped(),
 	}, nil
 }
 
+// routers asks each live router for its state.
+func (s *operatorsService) routers(ctx context.Context) []*operators.RouterStatus {
+	own, _ := (&peerServer{router: s.router}).State(ctx, nil) // It returns no error.
+	all := []*operators.RouterStatus{routerStatusOf(own)}
+	var g errgroup.Group
+	g.SetLimit(statusCalls)
+	for _, peer := range s.router.hosts.routers() {
+		if peer.Name == s.router.settings.Name {
+			continue
+		}
+		status := &operators.RouterStatus{Name: peer.Name, AvailabilityZone: peer.AvailabilityZone}
+		all = append(all, status)
+		g.Go(func() error {
+			reply, err := s.router.peers.client(ctx, peer.Address).State(ctx, &amrpeer.StateRequest{})
+			if err != nil {
+				status.Error = optional(err.Error())
+				return nil
+			}
+			*status = *routerStatusOf(reply)
+			return nil
+		})
+	}
+	_ = g.Wait() // The calls return no errors.
+	return all
+}
+
+func routerStatusOf(state *amrpeer.StateReply) *operators.RouterStatus {
+	age := time.Duration(state.GetAgeMs()) * time.Millisecond
+	return &operators.RouterStatus{
+		Name:             state.GetName(),
+		AvailabilityZone: state.GetAvailabilityZone(),
+		Incarnation:      optional(state.GetIncarnation()),
+		Ready:            state.GetReady(),
+		Revision:         state.GetRevision(),
+		Age:              optional(age.String()),
+	}
+}
+
 // backendServers asks the sidecar of each backend server for its state.
 func (s *operatorsService) backendServers(ctx context.Context, set amrrecord.Set) []*operators.BackendServerStatus {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	var mu sync.Mutex
 	all := []*operators.BackendServerStatus{}
 	var g errgroup.Group
 	g.SetLimit(statusCalls)
@@ -59,8 +88,6 @@
 		all = append(all, status)
 		g.Go(func() error {
 			reply, err := s.router.gates.client(ctx, server.Address).Report(ctx, &amrgate.ReportRequest{})
-			mu.Lock()
-			defer mu.Unlock()
 			fillStatus(status, server, reply.GetLoad(), err)
 			return nil
 		})
--- a/router/amrrouter/operators.go
+++ b/router/amrrouter/operators.go
@@ -56,16 +56,31 @@
 
 // Explain says why a request went where it did, or why it did not run.
 func (s *operatorsService) Explain(ctx context.Context, p *operators.ExplainPayload) (*operators.Explanation, error) {
-	d, ok := s.router.decisions.get(p.ID)
-	if !ok {
-		var err error
-		if d, err = s.router.decisions.recorder.Find(ctx, p.ID); err != nil {
-			return nil, operatorError(err)
-		}
+	d, err := s.router.find(ctx, p.ID)
+	if err != nil {
+		return nil, operatorError(err)
 	}
 	return explanationOf(d), nil
 }
 
+// find returns the decision on a request: from memory, from the router that
+// made it, or from the object store when that router is gone.
+func (r *Router) find(ctx context.Context, request string) (amrexplain.Decision, error) {
+	if d, ok := r.decisions.get(request); ok {
+		return d, nil
+	}
+	id, err := amrexplain.ParseID(request)
+	if err != nil {
+		return amrexplain.Decision{}, err
+	}
+	if peer, ok := r.hosts.named(id.Router); ok {
+		if d, ok := r.peers.find(ctx, peer.Address, request); ok {
+			return d, nil
+		}
+	}
+	return r.decisions.recorder.Find(ctx, request)
+}
+
 // WhyNot returns refusals by team, deployment, reason and time.
 func (s *operatorsService) WhyNot(ctx context.Context, p *operators.WhyNotPayload) (*operators.Refusals, error) {
 	now := s.router.clock.Now()
--- a/router/amrrouter/refusal.go
+++ b/router/amrrouter/refusal.go
@@ -16,6 +16,7 @@
 	ran        amrreason.Ran
 	detail     string
 	retryAfter time.Duration
+	deployment string // That the caller asked for, where it is known.
 }
 
 // Error returns the reason.
@@ -35,6 +36,13 @@
 	return &next
 }
 
+// withDeployment returns the refusal with the deployment that was asked for.
+func (r *refusal) withDeployment(name string) *refusal {
+	next := *r
+	next.deployment = name
+	return &next
+}
+
 // withRetryAfter returns the refusal with the time after which to try again.
 func (r *refusal) withRetryAfter(after time.Duration) *refusal {
 	next := *r
--- a/router/amrrouter/request.go
+++ b/router/amrrouter/request.go
@@ -36,6 +36,7 @@
 	weights        string
 	keys           []amrprompt.Key
 	call           *amrgate.ServiceCall
+	release        func(tokens int) // Gives back what the request took of its team's limits.
 }
 
 // call holds what a caller sent, whatever the route.
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -53,6 +53,9 @@
 	sidecars    *sidecars
 	retries     *retries
 	ledger      *amrledger.Ledger
+	hosts       *hosts
+	peers       *peers
+	limits      *limits
 	runs        errgroup.Group // Non-idempotent requests in progress.
 
 	mu       sync.Mutex
@@ -63,12 +66,14 @@
 type platform interface {
 	amrplatform.Table
 	amrplatform.Objects
+	amrplatform.HostList
 }
 
 // Listeners are sockets that are open already.
 type Listeners struct {
 	Callers   net.Listener
 	Operators net.Listener
+	Peers     net.Listener
 }
 
 // Option changes a router that New makes.
@@ -128,10 +133,15 @@
 	r.decisions = newDecisions(amrexplain.NewRecorder(settings.Name, r.incarnation, r.platform, r.clock))
 	r.ids = amrexplain.NewIDs(settings.Name, r.incarnation)
 	r.store = amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
-	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(amrconfig.Peer{
-		Name:             settings.Name,
-		AvailabilityZone: settings.AvailabilityZone,
-	}))
+	peersConfig, err := settings.PeersTLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	self := amrconfig.Peer{Name: settings.Name, Address: settings.PeersAddress, AvailabilityZone: settings.AvailabilityZone}
+	r.hosts = newHosts(r.platform, r.clock, self)
+	r.peers = &peers{connections: newGates(peersConfig)}
+	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.routers))
+	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
 	return r, nil
 }
@@ -153,12 +163,16 @@
 		return err
 	}
 	defer r.gates.close()
+	defer r.peers.connections.close()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return ignoreCanceled(r.follower.Run(background)) })
 	group.Go(func() error { return r.ledger.Maintain(background) })
 	group.Go(func() error { return r.decisions.recorder.Run(background) })
+	group.Go(func() error { return r.hosts.run(background) })
+	group.Go(func() error { return r.limits.run(background) })
+	group.Go(func() error { return r.servePeers(background) })
 	group.Go(func() error { return r.serveOperators(background) })
 	group.Go(func() error {
 		defer stop()
@@ -205,7 +219,12 @@
 		}
 	}
 	if r.listeners.Operators == nil {
-		r.listeners.Operators, err = net.Listen("tcp", r.settings.OperatorsAddress)
+		if r.listeners.Operators, err = net.Listen("tcp", r.settings.OperatorsAddress); err != nil {
+			return err
+		}
+	}
+	if r.listeners.Peers == nil && r.settings.PeersAddress != "" {
+		r.listeners.Peers, err = net.Listen("tcp", r.settings.PeersAddress)
 	}
 	return err
 }
--- a/router/amrrouter/settings.go
+++ b/router/amrrouter/settings.go
@@ -16,10 +16,12 @@
 	AvailabilityZone string          `yaml:"availability-zone"`
 	CallersAddress   string          `yaml:"callers-address"`   // Serves callers.
 	OperatorsAddress string          `yaml:"operators-address"` // Serves operators, metrics, healthz and readyz.
+	PeersAddress     string          `yaml:"peers-address"`     // Serves other routers, as in the host list; empty for none.
 	PlatformURL      string          `yaml:"platform-url"`
 	CallersTLS       amrsettings.TLS `yaml:"callers-tls"`
 	OperatorsTLS     amrsettings.TLS `yaml:"operators-tls"`
 	GateTLS          amrsettings.TLS `yaml:"gate-tls"`             // Towards sidecars.
+	PeersTLS         amrsettings.TLS `yaml:"peers-tls"`            // Between routers.
 	OperatorKeys     []string        `yaml:"operator-keys-sha256"` // Hex digests of bearer keys that may write records before any team may.
 	BodyBytes        int64           `yaml:"body-bytes"`
 	StopGrace        time.Duration   `yaml:"stop-grace"` // Longest time a stop waits for requests in progress.
@@ -47,6 +49,9 @@
 	if err := amrsettings.CheckAddress("operators-address", s.OperatorsAddress); err != nil {
 		return err
 	}
+	if err := s.checkPeers(); err != nil {
+		return err
+	}
 	if err := amrsettings.CheckURL("platform-url", s.PlatformURL); err != nil {
 		return err
 	}
@@ -65,6 +70,16 @@
 	return s.GateTLS.Check("gate-tls", true)
 }
 
+func (s *Settings) checkPeers() error {
+	if s.PeersAddress == "" {
+		return nil
+	}
+	if err := amrsettings.CheckAddress("peers-address", s.PeersAddress); err != nil {
+		return err
+	}
+	return s.PeersTLS.Check("peers-tls", true)
+}
+
 func (s *Settings) checkOperatorKeys() error {
 	for i, key := range s.OperatorKeys {
 		digest, err := hex.DecodeString(key)
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -114,6 +114,7 @@
 	settings  amrrouter.Settings
 	callers   string
 	operators string
+	peers     string
 }
 
 // CallersURL returns the URL of the callers' interface.
@@ -335,7 +336,7 @@
 	settings.BodyBytes = largeBodyBytes
 	settings.GateTLS = f.Config.GateTLS
 	settings.CallersTLS = f.Config.CallersTLS
-	r := &RouterProcess{settings: settings, callers: anyPort, operators: anyPort}
+	r := &RouterProcess{settings: settings, callers: anyPort, operators: anyPort, peers: anyPort}
 	f.Routers = append(f.Routers, r)
 	return f.StartRouter(r)
 }
@@ -350,17 +351,28 @@
 	if err != nil {
 		return err
 	}
-	r.callers, r.operators = callers.Addr().String(), operators.Addr().String()
-	r.settings.CallersAddress, r.settings.OperatorsAddress = r.callers, r.operators
+	peers, err := listen(r.peers)
+	if err != nil {
+		return err
+	}
+	r.callers, r.operators, r.peers = callers.Addr().String(), operators.Addr().String(), peers.Addr().String()
+	r.settings.CallersAddress, r.settings.OperatorsAddress, r.settings.PeersAddress = r.callers, r.operators, r.peers
+	f.Platform.SetHost(amrplatform.Host{
+		Name:             r.settings.Name,
+		Address:          r.peers,
+		AvailabilityZone: r.settings.AvailabilityZone,
+		Role:             amrplatform.RoleRouter,
+		State:            amrplatform.HostLive,
+	})
 	options := []amrrouter.Option{
 		amrrouter.WithLogger(f.log),
-		amrrouter.WithListeners(amrrouter.Listeners{Callers: callers, Operators: operators}),
+		amrrouter.WithListeners(amrrouter.Listeners{Callers: callers, Operators: operators, Peers: peers}),
 	}
 	r.Router, err = amrrouter.New(r.settings, append(options, f.Config.RouterOptions...)...)
 	if err != nil {
 		return err
 	}
-	r.Process = start(f.ctx, r.settings.Name, []*trackedListener{callers, operators}, r.Router.Run)
+	r.Process = start(f.ctx, r.settings.Name, []*trackedListener{callers, operators, peers}, r.Router.Run)
 	return nil
 }
 
