Pass orders to the backend server through the fence

Orders reached no sidecar yet. The sidecar now reads the lease's item for each order, carries one at a time, takes none for the longest time of an order after its start, and takes no new work while its engine loads weights. A dispatch for weights that the engine does not hold is declined at once as wrong-weights.

--- a/core/amrorder/fence.go
+++ b/core/amrorder/fence.go
@@ -21,9 +21,16 @@
 	carrying bool
 }
 
+// The kinds of orders.
+const (
+	KindLoadWeights = "load-weights"
+	KindLoadAdapter = "load-adapter"
+	KindSetRole     = "set-role"
+)
+
 // Order is an order to the backend server.
 type Order struct {
-	Kind       string // load-weights, load-adapter or set-role.
+	Kind       string
 	Value      string
 	Deployment string
 	Fence      uint64
--- a/sidecar/amrsidecar/backend.go
+++ b/sidecar/amrsidecar/backend.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrorder"
 	"amaranthreach.example/core/amrreason"
 )
 
@@ -14,6 +15,9 @@
 	// returns a failure where it knows how far the attempt got.
 	run(ctx context.Context, request *amrgate.DispatchRequest, relay func(piece) error) (result, error)
 
+	// order carries out an order and returns when it has ended.
+	order(ctx context.Context, order amrorder.Order) error
+
 	// state returns what is known of the backend server.
 	state() backendState
 
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -10,6 +10,7 @@
 
 	"amaranthreach.example/core/amrconfig"
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 )
@@ -23,6 +24,7 @@
 
 	sidecar   *Sidecar
 	backend   backend
+	orders    *orders
 	admission *admission
 	metrics   *metrics
 	claims    *claims
@@ -49,12 +51,16 @@
 	default:
 		g.backend = newEngine(s.settings.BackendURL, s.clock, s.log, g.admission)
 	}
+	g.orders = newOrders(s.clock, amrplatform.NewClient(s.settings.PlatformURL), g.backend, s.orderSettle)
 	return g
 }
 
 // Dispatch runs one attempt of a request.
 func (g *gate) Dispatch(request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) error {
 	attempt := newAttempt(g, request, stream)
+	if !g.holds(request.GetWeightsVersion()) {
+		return attempt.decline(amrreason.WrongWeights, 0, 0)
+	}
 	if reason := g.enter(request.GetRevision()); reason != "" {
 		return attempt.decline(reason, &ticket{})
 	}
@@ -97,7 +103,7 @@
 	load.ClockMs = g.claims.now().Milliseconds()
 	load.EngineIncarnation = state.incarnation
 	load.WeightsVersion = state.weightsVersion
-	load.Ready = state.ready
+	load.Ready = state.ready && !g.orders.isLoading()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	load.Draining = g.draining
@@ -105,6 +111,13 @@
 	return load
 }
 
+// holds reports whether the backend server can run requests for the version of
+// the weights. As long as its version is not known, it decides itself.
+func (g *gate) holds(version string) bool {
+	held := g.backend.state().weightsVersion
+	return !g.orders.isLoading() && (version == "" || held == "" || held == version)
+}
+
 // enter counts a request in progress, or returns the reason to decline it.
 func (g *gate) enter(revision uint64) amrreason.Code {
 	g.mu.Lock()
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -39,6 +39,7 @@
 	gate        *gate
 	registry    *prometheus.Registry
 	listeners   Listeners
+	orderSettle time.Duration
 }
 
 // Listeners are sockets that are open already.
@@ -65,6 +66,12 @@
 	return func(s *Sidecar) { s.listeners = listeners }
 }
 
+// WithOrderSettle sets the time after the start in which no order is taken. The
+// default is the longest time that an order takes.
+func WithOrderSettle(d time.Duration) Option {
+	return func(s *Sidecar) { s.orderSettle = d }
+}
+
 // New returns a sidecar that does not run yet.
 func New(settings Settings, options ...Option) *Sidecar {
 	s := &Sidecar{
@@ -73,6 +80,7 @@
 		log:         slog.Default(),
 		incarnation: uuid.NewString(),
 		registry:    prometheus.NewRegistry(),
+		orderSettle: orderTimeout,
 	}
 	for _, option := range options {
 		option(s)
