Follow membership in the router and roll out weights

The router ranked every backend server of the record. It now takes the view of amrmember: what replies, failures and the host list say of each server. All routers together read the host list about once a second at any size; the one that first sees a host leave tells its sidecar, which tells the others.

Any router may hold the lease of a deployment's orders. It asks all sidecars for their state, then loads what the record's versions want. Requests go to old and new weights by the number of backend servers that hold them, and a prompt stays with its version. A request whose server has meanwhile other weights chooses again as long as nothing has run; servers that are thought to be out are tried last, since their sidecars know better.

Found by the fleet's test: a server that draws no work was never heard, so a crashed engine that came back with old weights stayed so (held w1:1 w2:3 after 20 s); each router now asks one server at random each second. Requests were refused as wrong-weights while the last server with the old weights stopped to load; a stream that had lost two servers was cut though a third had come back.

--- a/core/amrmember/event.go
+++ b/core/amrmember/event.go
@@ -61,7 +61,7 @@
 func (Failed) event()        {}
 func (Tick) event()          {}
 
-// Action is something that Members wants done: a Probe.
+// Action is something that Members wants done: a Probe or Notify.
 type Action interface {
 	action()
 }
@@ -72,4 +72,13 @@
 	Address string
 }
 
-func (Probe) action() {}
+// Notify tells a sidecar whether its host leaves, as the host list says. So the
+// routers that have not read the list hear it from the sidecar.
+type Notify struct {
+	Name    string
+	Address string
+	Leaving bool
+}
+
+func (Probe) action()  {}
+func (Notify) action() {}
--- a/core/amrmember/fetcher.go
+++ b/core/amrmember/fetcher.go
@@ -30,6 +30,11 @@
 	return f
 }
 
+// SetInterval sets the time between fetches from the next one on.
+func (f *Fetcher) SetInterval(interval time.Duration) {
+	f.interval = interval
+}
+
 // Next returns the time of the next fetch.
 func (f *Fetcher) Next() time.Time {
 	return f.next
--- a/core/amrmember/members.go
+++ b/core/amrmember/members.go
@@ -24,6 +24,8 @@
 	addresses map[string][]string // Names by address of the sidecar.
 	ejected   map[string]int      // Number of ejected backend servers by deployment.
 	timers    timers
+	names     []string // Of all backend servers, in no order.
+	patrolAt  time.Time
 }
 
 // New returns Members without any backend server.
@@ -63,6 +65,7 @@
 	ReturnOver     time.Duration // Time over which the weight of a returning backend server grows.
 	ProbeEvery     time.Duration // First pause between probes; each further one doubles it.
 	ProbeAtLeast   time.Duration // Longest pause between probes.
+	PatrolEvery    time.Duration // Mean pause between probes of any backend server.
 	InitialWeight  float64       // Weight at the start of the return.
 	ForgetEjection time.Duration // Time in health after which the next ejection is short again.
 }
@@ -77,6 +80,7 @@
 		ReturnOver:     10 * time.Second,
 		ProbeEvery:     500 * time.Millisecond,
 		ProbeAtLeast:   15 * time.Second,
+		PatrolEvery:    time.Second,
 		InitialWeight:  0.1,
 		ForgetEjection: 2 * time.Minute,
 	}
@@ -95,7 +99,7 @@
 	case RecordRemoved:
 		m.removeRecord(e.Name)
 	case HostsListed:
-		m.listHosts(now, e.Hosts)
+		return m.listHosts(now, e.Hosts)
 	case Replied:
 		if s, ok := m.states[e.Name]; ok {
 			m.reply(now, s, e)
@@ -130,7 +134,8 @@
 		s = nil
 	}
 	if s == nil {
-		s = &state{}
+		s = &state{index: len(m.names)}
+		m.names = append(m.names, e.Name)
 		m.states[e.Name] = s
 		m.addresses[e.Spec.Address] = append(m.addresses[e.Spec.Address], e.Name)
 	}
@@ -152,6 +157,12 @@
 	m.setEjected(s, false)
 	m.view = m.view.without(s.member)
 	delete(m.states, name)
+	last := m.names[len(m.names)-1]
+	m.names[s.index] = last
+	m.names = m.names[:len(m.names)-1]
+	if last != name {
+		m.states[last].index = s.index
+	}
 	m.addresses[s.member.Address] = remove(m.addresses[s.member.Address], name)
 	if len(m.addresses[s.member.Address]) == 0 {
 		delete(m.addresses, s.member.Address)
@@ -160,7 +171,8 @@
 
 // listHosts takes in what the host list says of the sidecars. A sidecar that
 // was listed and is no longer is gone; one that never was may be new.
-func (m *Members) listHosts(now time.Time, hosts []amrplatform.Host) {
+func (m *Members) listHosts(now time.Time, hosts []amrplatform.Host) []Action {
+	var actions []Action
 	seen := make(map[*state]bool, len(m.states))
 	for _, host := range hosts {
 		if host.Role != amrplatform.RoleSidecar {
@@ -169,9 +181,13 @@
 		for _, name := range m.addresses[host.Address] {
 			s := m.states[name]
 			seen[s] = true
+			left := s.leaving
 			if s.list(host) {
 				m.refresh(now, s, s.member)
 			}
+			if s.leaving != left {
+				actions = append(actions, Notify{Name: name, Address: s.member.Address, Leaving: s.leaving})
+			}
 		}
 	}
 	for _, s := range m.states {
@@ -180,6 +196,7 @@
 			m.refresh(now, s, s.member)
 		}
 	}
+	return actions
 }
 
 // reply takes in what a sidecar says of itself.
@@ -292,7 +309,18 @@
 		actions = append(actions, Probe{Name: due.name, Address: s.member.Address})
 		m.planProbe(now, s)
 	}
-	return actions
+	return append(actions, m.patrol(now)...)
+}
+
+// patrol returns now and then a probe of any backend server. All routers
+// together so hear of a change at one that draws no work.
+func (m *Members) patrol(now time.Time) []Action {
+	if now.Before(m.patrolAt) || len(m.names) == 0 {
+		return nil
+	}
+	m.patrolAt = now.Add(m.limits.PatrolEvery/2 + time.Duration(m.rand.Int64N(int64(m.limits.PatrolEvery))))
+	name := m.names[m.rand.IntN(len(m.names))]
+	return []Action{Probe{Name: name, Address: m.states[name].member.Address}}
 }
 
 // doubled returns the duration doubled n times, at most limit.
--- a/core/amrmember/members_test.go
+++ b/core/amrmember/members_test.go
@@ -92,8 +92,11 @@
 
 func writeActions(out *strings.Builder, actions []Action) {
 	for _, action := range actions {
-		if probe, ok := action.(Probe); ok {
-			fmt.Fprintf(out, "probe %s\n", probe.Name)
+		switch a := action.(type) {
+		case Probe:
+			fmt.Fprintf(out, "probe %s\n", a.Name)
+		case Notify:
+			fmt.Fprintf(out, "notify %s leaving=%t\n", a.Name, a.Leaving)
 		}
 	}
 }
@@ -184,7 +187,12 @@
 			t.Fatalf("%d ejected of %s, counted %d", ejected[deployment], deployment, members.ejected[deployment])
 		}
 	}
-	if total != len(members.states) {
+	for i, name := range members.names {
+		if members.states[name].index != i {
+			t.Fatalf("%s stands at %d, not %d", name, i, members.states[name].index)
+		}
+	}
+	if total != len(members.states) || len(members.names) != total {
 		t.Fatalf("the view holds %d of %d", total, len(members.states))
 	}
 }
--- a/core/amrmember/state.go
+++ b/core/amrmember/state.go
@@ -9,6 +9,7 @@
 // state is what Members knows of one backend server.
 type state struct {
 	member Member // As it stands in the view.
+	index  int    // In the list of names.
 
 	drainedByRecord bool
 
--- a/core/amrmember/view.go
+++ b/core/amrmember/view.go
@@ -9,7 +9,8 @@
 
 // View is an immutable view of the backend servers. The zero value is empty.
 type View struct {
-	groups map[string]group // By deployment.
+	groups  map[string]group // By deployment.
+	changes uint64           // Made to get to this view.
 }
 
 // Eligible returns the backend servers of the deployment that may take new
@@ -24,6 +25,24 @@
 	return v.groups[deployment].excluded
 }
 
+// Weights returns how many of the eligible backend servers of the deployment
+// are known to hold each version of the weights. The caller must not change
+// the map.
+func (v View) Weights(deployment string) map[string]int {
+	return v.groups[deployment].weights
+}
+
+// Generation returns a number that differs between two views of the same
+// Members when the deployment's backend servers do.
+func (v View) Generation(deployment string) uint64 {
+	return v.groups[deployment].generation
+}
+
+// Deployments returns the deployments that have backend servers, by name.
+func (v View) Deployments() []string {
+	return slices.Sorted(maps.Keys(v.groups))
+}
+
 // Member returns the backend server of the deployment that has the name.
 func (v View) Member(deployment, name string) (*Member, bool) {
 	g := v.groups[deployment]
@@ -77,6 +96,21 @@
 type group struct {
 	eligible []*Member
 	excluded []*Member
+	weights  map[string]int // Number of eligible backend servers by version.
+
+	generation uint64
+}
+
+// counted returns the group of the generation with the weights of its eligible backend servers.
+func (g group) counted(generation uint64) group {
+	g.generation = generation
+	g.weights = make(map[string]int)
+	for _, m := range g.eligible {
+		if m.WeightsVersion != "" {
+			g.weights[m.WeightsVersion]++
+		}
+	}
+	return g
 }
 
 func (g group) size() int {
@@ -96,8 +130,9 @@
 	if groups == nil {
 		groups = make(map[string]group)
 	}
-	groups[next.Deployment] = g
-	return View{groups: groups}
+	v.changes++
+	groups[next.Deployment] = g.counted(v.changes)
+	return View{groups: groups, changes: v.changes}
 }
 
 // without returns the view without the member.
@@ -112,11 +147,12 @@
 		g.excluded = removed(g.excluded, old.Name)
 	}
 	groups := maps.Clone(v.groups)
-	groups[old.Deployment] = g
+	v.changes++
+	groups[old.Deployment] = g.counted(v.changes)
 	if g.size() == 0 {
 		delete(groups, old.Deployment)
 	}
-	return View{groups: groups}
+	return View{groups: groups, changes: v.changes}
 }
 
 func find(list []*Member, name string) (int, bool) {
--- a/core/amrorder/lease.go
+++ b/core/amrorder/lease.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/zeebo/xxh3"
 
 	"amaranthreach.example/core/amrplatform"
 )
@@ -49,12 +50,36 @@
 	sentAt     time.Time // Start of the first write whose outcome is not known; zero for none.
 	checked    uint64    // Version that the last write checks.
 	resigning  bool
+	tookOver   bool
+	goal       string
+	insist     bool
 }
 
-// NewLease returns a candidacy. The holder must name the process uniquely: a
-// process that restarts must not use the same name.
-func NewLease(deployment, holder string, ttl time.Duration) Lease {
-	return Lease{key: LeaseKey(deployment), holder: holder, ttl: ttl}
+// NewLease returns a candidacy that begins some time within the TTL from start,
+// so that the candidates of one lease do not all come at once. The holder must
+// name the process uniquely: a process that restarts must not use the same name.
+func NewLease(start time.Time, deployment, holder string, ttl time.Duration, opts ...LeaseOption) Lease {
+	l := Lease{key: LeaseKey(deployment), holder: holder, ttl: ttl}
+	l.nextAt = start.Add(l.lag())
+	for _, opt := range opts {
+		opt(&l)
+	}
+	return l
+}
+
+// LeaseOption configures a Lease.
+type LeaseOption func(*Lease)
+
+// WithGoal names what the lease is wanted for. Resign leaves the goal in the
+// item, and a candidate that finds its own goal there ends its candidacy.
+func WithGoal(goal string) LeaseOption {
+	return func(l *Lease) { l.goal = goal }
+}
+
+// WithInsistence makes the candidate take the lease though its goal was reached
+// before.
+func WithInsistence() LeaseOption {
+	return func(l *Lease) { l.insist = true }
 }
 
 // Held returns the fencing number of the lease, and whether the candidate may
@@ -66,6 +91,17 @@
 	return l.fence, true
 }
 
+// TookOver reports whether the lease was taken over from a holder that had not
+// given it up, so that its last orders may still be under way.
+func (l *Lease) TookOver() bool {
+	return l.tookOver
+}
+
+// SetGoal replaces the goal, when what is wanted has changed.
+func (l *Lease) SetGoal(goal string) {
+	l.goal = goal
+}
+
 // Resign gives the lease up and ends the candidacy.
 func (l *Lease) Resign() {
 	l.resigning = true
@@ -164,9 +200,14 @@
 	free := value.Holder == "" || now.Sub(l.seenSince) >= l.ttl
 	if !free {
 		l.sentAt = time.Time{} // A write still on its way meets a changed version.
-		l.pause(now)
+		l.nextAt = now.Add(l.ttl + l.lag())
 		return nil
 	}
+	if value.Holder == "" && l.goal != "" && value.Goal == l.goal && !l.insist {
+		l.resigning = true
+		return nil
+	}
+	l.tookOver = value.Holder != ""
 	return l.write(now, leaseValue{Holder: l.holder, Fence: value.Fence + 1})
 }
 
@@ -179,7 +220,7 @@
 		l.granted()
 	}
 	if l.resigning {
-		return l.write(now, leaseValue{Fence: value.Fence})
+		return l.write(now, leaseValue{Fence: value.Fence, Goal: l.goal})
 	}
 	return l.write(now, value)
 }
@@ -228,11 +269,17 @@
 	l.nextAt = now.Add(l.ttl / renewalsPerTTL)
 }
 
+// lag spreads the reads of the candidates of one lease.
+func (l *Lease) lag() time.Duration {
+	return time.Duration(xxh3.HashString(l.holder) % uint64(l.ttl))
+}
+
 // leaseValue is the value of the lease's item. An empty holder says that the
-// lease is free.
+// lease is free, and the goal then is what the last holder reached.
 type leaseValue struct {
 	Holder string `json:"holder"`
 	Fence  uint64 `json:"fence"`
+	Goal   string `json:"goal,omitempty"`
 }
 
 func (v leaseValue) encode() []byte {
--- a/core/amrorder/model_test.go
+++ b/core/amrorder/model_test.go
@@ -130,7 +130,7 @@
 func newWorld(w world, orders int) world {
 	w.now = time.Unix(1000, 0)
 	for i := range w.routers {
-		w.routers[i] = router{lease: NewLease("m", fmt.Sprintf("router-%d", i), modelTTL), orders: orders}
+		w.routers[i] = router{lease: NewLease(w.now.Add(-modelTTL), "m", fmt.Sprintf("router-%d", i), modelTTL), orders: orders}
 	}
 	w.sidecar.fence = *NewFence(w.now, 0)
 	return w
--- a/core/amrorder/rollout.go
+++ b/core/amrorder/rollout.go
@@ -15,8 +15,12 @@
 	MinServingShare = 0.75             // Share of a pool that goes on serving.
 	MaxFailures     = 3                // Failed loads of a version in a row that halt it.
 	LoadRetryAfter  = 10 * time.Second // Pause before a backend server is tried again.
+	BusyRetryAfter  = time.Second      // The same when it did not take the order.
 )
 
+// unknownWeights stands for the version of a backend server that was not heard.
+const unknownWeights = "\x00unknown"
+
 // Rollout plans the loads that bring a deployment's backend servers to the
 // versions of its record. It keeps old and new versions serving side by side,
 // loads at most MaxLoads at once and keeps the capacity of the others. A version
@@ -37,6 +41,7 @@
 	Weights          string // Version that it holds; empty for none.
 	Ready            bool   // It can take work.
 	Reachable        bool   // Its sidecar answers and it is not leaving.
+	Known            bool   // Its sidecar has been heard.
 }
 
 // Load is one order to load weights.
@@ -45,7 +50,21 @@
 	Weights string
 }
 
-// Plan returns the loads to start now. Each has to be reported with Finish.
+// Wanted reports whether a backend server is known that should hold another
+// version.
+func Wanted(versions []amrrecord.Version, servers []Server) bool {
+	var r Rollout
+	r.reset(versions)
+	for _, p := range pools(versions, servers) {
+		if len(r.moves(time.Time{}, p)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Plan returns the loads to start now. Each has to be reported with Finish or
+// Postpone.
 func (r *Rollout) Plan(now time.Time, versions []amrrecord.Version, servers []Server) []Load {
 	r.reset(versions)
 	var loads []Load
@@ -79,6 +98,13 @@
 	r.retryAt[load.Server] = now.Add(LoadRetryAfter)
 }
 
+// Postpone notes that a load was not carried out for no fault of the backend
+// server.
+func (r *Rollout) Postpone(now time.Time, load Load) {
+	delete(r.loading, load.Server)
+	r.retryAt[load.Server] = now.Add(BusyRetryAfter)
+}
+
 // Loading returns the number of loads that have not finished.
 func (r *Rollout) Loading() int {
 	return len(r.loading)
@@ -137,13 +163,15 @@
 		held := s.Weights
 		if version, ok := r.loading[s.Name]; ok {
 			held = version
+		} else if !s.Known {
+			held = unknownWeights
 		}
 		i := slices.IndexFunc(missing, func(t target) bool { return t.weights == held })
 		if i >= 0 && missing[i].count > 0 {
 			missing[i].count--
 			continue
 		}
-		if _, ok := r.loading[s.Name]; !ok && s.Reachable && !now.Before(r.retryAt[s.Name]) {
+		if _, ok := r.loading[s.Name]; !ok && s.Known && s.Reachable && !now.Before(r.retryAt[s.Name]) {
 			movable = append(movable, s)
 		}
 	}
--- a/router/amrrouter/choice.go
+++ b/router/amrrouter/choice.go
@@ -21,6 +21,7 @@
 	request   *request
 	plan      plan
 	bounded   int      // Dispatches with a bound so far.
+	misses    int      // Dispatches that were declined for the version of the weights.
 	costly    int      // Dispatches that were declined for their cost.
 	used      bool     // The plan was used for a dispatch.
 	excluded  []string // Backend servers that refused or failed the request.
@@ -37,7 +38,7 @@
 // is left.
 func (c *choice) next() (candidate, bool) {
 	if c.used {
-		c.plan = c.placement.plan(c.request, c.unusable(), c.known)
+		c.again()
 	}
 	c.used = true
 	if len(c.plan.candidates) == 0 {
@@ -50,6 +51,12 @@
 	return server, true
 }
 
+// again returns the backend servers ranked anew.
+func (c *choice) again() []candidate {
+	c.plan = c.placement.plan(c.request, c.unusable(), c.known)
+	return c.plan.candidates
+}
+
 // fill adds to the message of the attempt what the placement asks of the
 // sidecar.
 func (c *choice) fill(message *amrgate.DispatchRequest) {
@@ -106,9 +113,17 @@
 }
 
 // declined excludes the backend server unless only its cost was too high: it
-// may still be the best when the others are worse.
+// may still be the best when the others are worse. One that holds other weights
+// is left out of the plan for as long as it does.
 func (c *choice) declined(server string, declined *amrgate.Declined, load *amrgate.Load) {
-	if declined.GetReason() != string(amrreason.CostsLessElsewhere) {
+	switch amrreason.Code(declined.GetReason()) {
+	case amrreason.CostsLessElsewhere:
+	case amrreason.WrongWeights:
+		if c.misses++; c.misses > maxRebinds {
+			c.exclude(server)
+		}
+		return
+	default:
 		c.exclude(server)
 		return
 	}
--- a/router/amrrouter/once.go
+++ b/router/amrrouter/once.go
@@ -118,6 +118,7 @@
 		s.tried++
 		state, ok := o.sidecar(ctx, server)
 		if !ok {
+			s.router.membership.failed(server.name, true)
 			s.note(server, amrreason.EngineUnavailable)
 			continue
 		}
@@ -132,6 +133,10 @@
 			WindowEnd:   state.windowEnd(s.router.clock.Now()),
 		}}
 	}
+	if s.last != nil && s.last.reason == amrreason.WrongWeights && s.rebind() {
+		s.candidates, s.tried = s.choice.again(), 0
+		return o.Place(ctx)
+	}
 	return amrledger.NotPlaced{Reason: amrreason.NoBackendServer, RetryAfter: time.Second}
 }
 
@@ -172,6 +177,7 @@
 	stream, err := s.router.gates.client(ctx, server.address).Dispatch(ctx, message)
 	if err != nil {
 		s.router.sidecars.forget(server.name)
+		s.router.membership.failed(server.name, isDialError(err))
 		s.note(server, amrreason.EngineUnavailable)
 		if isDialError(err) {
 			return amrledger.NotRun{Reason: amrreason.EngineUnavailable, Elsewhere: true}
@@ -201,6 +207,7 @@
 		case *amrgate.DispatchReply_Declined:
 			reason := amrreason.Code(event.Declined.GetReason())
 			s.note(server, reason)
+			s.last = refuse(reason, server.name)
 			if reason == amrreason.WrongIncarnation {
 				s.tried-- // Its load, which came along, names the present one.
 			}
--- a/router/amrrouter/placement.go
+++ b/router/amrrouter/placement.go
@@ -1,6 +1,7 @@
 package amrrouter
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrmember"
 	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrrecord"
@@ -33,6 +35,12 @@
 	// toldFleet is the number of backend servers up to which replies tell of
 	// stored blocks. In a larger fleet a router hears of too few to profit.
 	toldFleet = 128
+
+	// weightInterval is the time between steps of a returning member's weight.
+	weightInterval = time.Second
+
+	// keptVersions is how many versions of a deployment's weights have placers.
+	keptVersions = 8
 )
 
 // candidate is a backend server that may take a request.
@@ -55,31 +63,37 @@
 type placement struct {
 	clock   clockwork.Clock
 	options []amrplace.Option
+	members func(amrrecord.Set) amrmember.View
 	streams atomic.Int64 // Dispatches in progress.
 
 	mu      sync.Mutex
-	placers map[string]*placer
+	placers map[string]map[string]*placer // By deployment and version of the weights.
 }
 
-// placer is the placer of a deployment, with its view as of a revision.
+// placer is the placer of a deployment's backend servers that hold a version of
+// the weights.
 type placer struct {
 	*amrplace.Placer
 
-	revision  uint64
-	addresses map[string]string
+	generation uint64    // Of the view of members that it has.
+	refreshAt  time.Time // When the weight of a returning member has grown; zero for none.
+	addresses  map[string]string
 }
 
-func newPlacement(clock clockwork.Clock, name, zone string, options []amrplace.Option) *placement {
+func newPlacement(
+	clock clockwork.Clock, name, zone string, members func(amrrecord.Set) amrmember.View, options []amrplace.Option,
+) *placement {
 	all := []amrplace.Option{amrplace.WithSeed(xxh3.HashString(name)), amrplace.WithAvailabilityZone(zone)}
-	return &placement{clock: clock, options: append(all, options...), placers: make(map[string]*placer)}
+	return &placement{clock: clock, options: append(all, options...), members: members, placers: make(map[string]map[string]*placer)}
 }
 
 // plan ranks the backend servers for the request, without the excluded ones
 // and by what those that declined it have said.
 func (p *placement) plan(q *request, excluded []string, known []amrplace.Known) plan {
+	view := p.members(q.set)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	placer := p.placer(q.set, q.deployment)
+	placer := p.placer(view, q.deployment, q.weights)
 	decision := placer.Place(p.clock.Now(), amrplace.Request{
 		Keys:         q.keys,
 		PromptTokens: amrprompt.Tokens(q.prompt),
@@ -99,29 +113,67 @@
 			placed:  c,
 		})
 	}
+	if len(made.candidates) == 0 {
+		made.candidates = lastResort(view, q, excluded)
+	}
 	return made
 }
 
-// placer returns the placer of the deployment, with the view of the records.
-func (p *placement) placer(set amrrecord.Set, deployment string) *placer {
-	known := p.placers[deployment]
+// lastResort returns the backend servers that are thought to be out. Their
+// sidecars know better.
+func lastResort(view amrmember.View, q *request, excluded []string) []candidate {
+	var all []candidate
+	for _, m := range view.Excluded(q.deployment) {
+		out := m.Exclusion == amrmember.Ejected || m.Exclusion == amrmember.NotReady
+		if out && mayHold(m, q.weights) && !slices.Contains(excluded, m.Name) {
+			all = append(all, candidate{name: m.Name, address: m.Address, placed: amrplace.Candidate{Name: m.Name}})
+		}
+	}
+	return all
+}
+
+// mayHold reports whether the backend server holds the version of the weights
+// as far as is known.
+func mayHold(m *amrmember.Member, weights string) bool {
+	return m.WeightsVersion == "" || weights == "" || m.WeightsVersion == weights
+}
+
+// placer returns the placer for the deployment's weights, with the present
+// members.
+func (p *placement) placer(view amrmember.View, deployment, weights string) *placer {
+	known := p.placers[deployment][weights]
 	if known == nil {
 		known = &placer{Placer: amrplace.New(p.options...)}
-		p.placers[deployment] = known
+		if p.placers[deployment] == nil || len(p.placers[deployment]) >= keptVersions {
+			p.placers[deployment] = make(map[string]*placer)
+		}
+		p.placers[deployment][weights] = known
 	}
-	if known.addresses != nil && known.revision >= set.Revision() {
+	generation := view.Generation(deployment)
+	now := p.clock.Now()
+	returned := !known.refreshAt.IsZero() && !now.Before(known.refreshAt)
+	if known.addresses != nil && known.generation == generation && !returned {
 		return known
 	}
-	known.revision = set.Revision()
+	known.generation = generation
+	known.refreshAt = time.Time{}
 	known.addresses = make(map[string]string)
 	var members []amrplace.Member
-	for _, record := range set.BackendServers(deployment) {
-		server, ok := record.Spec.(amrrecord.BackendServer)
-		if !ok || server.Drain {
+	for _, m := range view.Eligible(deployment) {
+		if !mayHold(m, weights) {
 			continue
 		}
-		known.addresses[record.Name] = server.Address
-		members = append(members, amrplace.Member{Name: record.Name, AvailabilityZone: server.AvailabilityZone})
+		known.addresses[m.Name] = m.Address
+		weight := m.Weight(now, amrmember.DefaultLimits())
+		if weight < 1 {
+			known.refreshAt = now.Add(weightInterval)
+		}
+		members = append(members, amrplace.Member{
+			Name:              m.Name,
+			AvailabilityZone:  m.AvailabilityZone,
+			EngineIncarnation: m.EngineIncarnation,
+			Weight:            weight,
+		})
 	}
 	known.SetView(amrplace.NewView(members))
 	return known
@@ -169,7 +221,7 @@
 func (p *placement) with(deployment string, do func(*placer)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if placer := p.placers[deployment]; placer != nil {
+	for _, placer := range p.placers[deployment] {
 		do(placer)
 	}
 }
--- a/router/amrrouter/request.go
+++ b/router/amrrouter/request.go
@@ -7,8 +7,12 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrledger"
+	"amaranthreach.example/core/amrmember"
+	"amaranthreach.example/core/amrorder"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrrecord"
@@ -92,12 +96,23 @@
 	if refused := q.setDeadline(r.clock.Now(), c.timeout); refused != nil {
 		return nil, refused
 	}
-	return q, q.bind()
+	if refused := q.check(); refused != nil {
+		return nil, refused
+	}
+	q.bind(r.membership.view(set))
+	return q, nil
+}
+
+// bind chooses the version of the weights and derives the block keys.
+func (q *request) bind(view amrmember.View) {
+	seed := xxh3.HashString(q.team + "\x00" + q.prompt[:min(len(q.prompt), amrprompt.BytesPerBlock)])
+	q.weights = amrorder.PickVersion(q.deploymentSpec.Versions, view.Weights(q.deployment), seed)
+	scope := amrprompt.Scope{Team: q.team, Deployment: q.deployment, WeightsVersion: q.weights}
+	q.keys = amrprompt.Keys(scope, q.prompt)
 }
 
-// bind derives the weights version and the block keys, and checks that the
-// deployment's type suits the route.
-func (q *request) bind() *refusal {
+// check checks that the deployment's type suits the route.
+func (q *request) check() *refusal {
 	wanted := amrrecord.TypeModel
 	if q.call != nil {
 		wanted = amrrecord.TypeService
@@ -106,11 +121,6 @@
 	if q.deploymentSpec.Type != wanted {
 		return refuse(amrreason.BadRequest, fmt.Sprintf("deployment %s is of type %s", q.deployment, q.deploymentSpec.Type))
 	}
-	if len(q.deploymentSpec.Versions) > 0 {
-		q.weights = q.deploymentSpec.Versions[0].Weights
-	}
-	scope := amrprompt.Scope{Team: q.team, Deployment: q.deployment, WeightsVersion: q.weights}
-	q.keys = amrprompt.Keys(scope, q.prompt)
 	if !q.idempotent && q.idempotencyKey == "" {
 		return refuse(amrreason.KeyRequired, "Idempotency-Key")
 	}
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -24,6 +24,7 @@
 	"amaranthreach.example/core/amrexplain"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrledger"
+	"amaranthreach.example/core/amrorder"
 	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrserve"
@@ -49,6 +50,10 @@
 	gates       *gates
 	placement   *placement
 	placing     []amrplace.Option
+	membership  *membership
+	rollouts    *rollouts
+	orderTTL    time.Duration
+	orderWait   time.Duration
 	decisions   *decisions
 	sidecars    *sidecars
 	retries     *retries
@@ -105,6 +110,16 @@
 	return func(r *Router) { r.placing = append(r.placing, options...) }
 }
 
+// WithOrderTimes sets the time for which a lease of a deployment's orders holds
+// without renewal, and the longest time for an order. The defaults are
+// amrorder.DefaultTTL and DefaultOrderTimeout.
+func WithOrderTimes(ttl, timeout time.Duration) Option {
+	return func(r *Router) { r.orderTTL, r.orderWait = ttl, timeout }
+}
+
+// DefaultOrderTimeout bounds an order to a backend server.
+const DefaultOrderTimeout = 6 * time.Second
+
 // New returns a router that does not run yet.
 func New(settings Settings, options ...Option) (*Router, error) {
 	r := &Router{
@@ -113,6 +128,8 @@
 		log:         slog.Default(),
 		incarnation: uuid.NewString()[:8],
 		registry:    prometheus.NewRegistry(),
+		orderTTL:    amrorder.DefaultTTL,
+		orderWait:   DefaultOrderTimeout,
 	}
 	for _, option := range options {
 		option(r)
@@ -124,7 +141,6 @@
 	}
 	r.metrics = newMetrics(r.registry)
 	r.gates = newGates(config)
-	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.placing)
 	r.sidecars = newSidecars()
 	r.retries = newRetries()
 	if r.platform == nil {
@@ -143,6 +159,19 @@
 	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.routers))
 	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
+	r.membership = newMembership(r.clock, r.log, r.gates, r.platform)
+	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.membership.view, r.placing)
+	r.rollouts = &rollouts{
+		clock:      r.clock,
+		log:        r.log,
+		table:      r.platform,
+		gates:      r.gates,
+		membership: r.membership,
+		current:    r.follower.Current,
+		holder:     settings.Name + "/" + r.incarnation,
+		ttl:        r.orderTTL,
+		timeout:    r.orderWait,
+	}
 	return r, nil
 }
 
@@ -164,6 +193,9 @@
 	}
 	defer r.gates.close()
 	defer r.peers.connections.close()
+	if client, ok := r.platform.(*amrplatform.Client); ok {
+		defer client.CloseIdleConnections()
+	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
@@ -173,6 +205,8 @@
 	group.Go(func() error { return r.hosts.run(background) })
 	group.Go(func() error { return r.limits.run(background) })
 	group.Go(func() error { return r.servePeers(background) })
+	group.Go(func() error { return r.membership.run(background) })
+	group.Go(func() error { return r.rollouts.run(background) })
 	group.Go(func() error { return r.serveOperators(background) })
 	group.Go(func() error {
 		defer stop()
@@ -207,6 +241,7 @@
 
 // observe notes what a sidecar said of itself.
 func (r *Router) observe(name string, load *amrgate.Load) {
+	r.membership.observe(name, load)
 	r.sidecars.observe(name, load, r.clock.Now())
 	r.follower.Heard(load.GetRevision())
 }
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -17,6 +17,9 @@
 const (
 	defaultMaxAttempts = 3
 
+	// maxRebinds is how often the version of the weights is chosen anew.
+	maxRebinds = 8
+
 	// minTimeLeft is the least time before the deadline to start an attempt.
 	minTimeLeft = 20 * time.Millisecond
 )
@@ -32,6 +35,7 @@
 	choice     *choice
 	candidates []candidate
 	tried      int
+	rebinds    int   // Attempts after which the version of the weights was chosen anew.
 	once       *once // Nil for idempotent work.
 
 	relay        *amrstream.Relay
@@ -89,6 +93,17 @@
 	return s
 }
 
+// rebind chooses the version of the weights anew, as long as nothing has run:
+// the backend servers turned out to hold others than was known.
+func (s *session) rebind() bool {
+	if s.rebinds == maxRebinds || s.relay.Relayed() > 0 {
+		return false
+	}
+	s.rebinds++
+	s.request.bind(s.router.membership.view(s.request.set))
+	return true
+}
+
 // next returns the next piece of the answer, its end, or the refusal.
 func (s *session) next(ctx context.Context) (answerEvent, *refusal) {
 	if s.once != nil {
@@ -278,11 +293,15 @@
 		s.step(amrstream.Arrived{Chunk: chunkOf(event.Chunk)})
 	case *amrgate.DispatchReply_End:
 		s.winner = d.server.name
+		s.router.membership.succeeded(d.server.name)
 		end := endOfAttempt(event.End)
 		end.Usage = usageOfAttempt(event.End)
 		s.step(amrstream.Finished{End: end})
 	case *amrgate.DispatchReply_Failed:
 		reason, ran := amrreason.Code(event.Failed.GetReason()), amrreason.Ran(event.Failed.GetRan())
+		if event.Failed.GetEngineLost() || reason == amrreason.EngineUnavailable {
+			s.router.membership.failed(d.server.name, false)
+		}
 		s.fail(a.attempt, d, refuse(reason, d.server.name).withRan(ran), false)
 	}
 }
@@ -290,6 +309,7 @@
 // broken ends an attempt whose stream broke off.
 func (s *session) broken(attempt uint32, d *dispatch, err error) {
 	s.router.sidecars.forget(d.server.name)
+	s.router.membership.failed(d.server.name, isDialError(err))
 	s.choice.exclude(d.server.name)
 	if isDialError(err) {
 		s.fail(attempt, d, refuse(amrreason.EngineUnavailable, d.server.name), false)
@@ -304,6 +324,9 @@
 	s.note(d.server, why.reason)
 	s.last, s.declined = why, declined
 	s.end(attempt)
+	if why.reason == amrreason.WrongWeights && len(s.live) == 0 {
+		s.rebind()
+	}
 	s.step(amrstream.Failed{Attempt: attempt, Reason: why.reason, Ran: why.ran})
 }
 
@@ -351,7 +374,7 @@
 		MinTimeLeft: minTimeLeft,
 		Idempotent:  true,
 	}
-	outcome := amrretry.Outcome{Attempts: s.tried - s.choice.costly, Reason: a.Reason, Ran: a.Ran, Declined: s.declined}
+	outcome := amrretry.Outcome{Attempts: s.tried - s.choice.costly - s.rebinds, Reason: a.Reason, Ran: a.Ran, Declined: s.declined}
 	if gaveUp, ok := s.router.retries.decide(s.router.clock.Now(), policy, outcome).(amrretry.GiveUp); ok {
 		s.step(amrstream.NotResumed{Reason: gaveUp.Reason, Ran: gaveUp.Ran})
 	}
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -59,7 +59,7 @@
 func (g *gate) Dispatch(request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) error {
 	attempt := newAttempt(g, request, stream)
 	if !g.holds(request.GetWeightsVersion()) {
-		return attempt.decline(amrreason.WrongWeights, 0, 0)
+		return attempt.decline(amrreason.WrongWeights, &ticket{})
 	}
 	if reason := g.enter(request.GetRevision()); reason != "" {
 		return attempt.decline(reason, &ticket{})
