Bring records into force by request and show their state

A request sees the records in force for it while a record is rolled out to a share of the requests. Versions must leave no traffic without weights: the shares of those without availability zones add up to 100. A backend server can't be in force for a share. Revision, age, peers and the decisions that wait for the object store are metrics.

--- a/core/amrrecord/deployment.go
+++ b/core/amrrecord/deployment.go
@@ -93,16 +93,14 @@
 // checkVersions requires that the versions without availability zones share
 // all of the traffic that no availability zone claims.
 func (d Deployment) checkVersions(p *problems) {
-	total, everywhere := 0, false
+	total := 0
 	for _, v := range d.Versions {
 		p.check(v.Weights != "", "versions", "weights is missing; name the weights of each version")
 		p.check(v.Share >= 0 && v.Share <= 100, "versions", "share %d is out of range; write a percentage from 0 to 100", v.Share)
 		if len(v.AvailabilityZones) == 0 {
-			everywhere = true
 			total += v.Share
 		}
 	}
-	if everywhere {
-		p.check(total == 100, "versions", "the shares of the versions without availability-zones add up to %d; make them 100", total)
-	}
+	p.check(len(d.Versions) == 0 || total == 100, "versions",
+		"the shares of the versions without availability-zones add up to %d; make them 100", total)
 }
--- a/core/amrrecord/validate.go
+++ b/core/amrrecord/validate.go
@@ -30,6 +30,7 @@
 	var p problems
 	p.check(namePattern.MatchString(r.Name), "name", "%q is no name; use up to 128 lower-case letters, digits, dots and hyphens", r.Name)
 	p.between("rollout", r.Rollout.Share, 0, 100)
+	p.check(!r.Rollout.partial() || r.Kind() != KindBackendServer, "rollout", "a backend server can't be in force for a share of the requests; name availability-zones")
 	return append(p, r.Spec.problems()...)
 }
 
--- /dev/null
+++ b/router/amrrouter/config_metrics.go
@@ -0,0 +1,23 @@
+package amrrouter
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// registerState adds what the router knows of its records and decisions to
+// the metrics.
+func (r *Router) registerState() {
+	gauge := func(name, help string, value func() float64) {
+		r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("amr_router_config_revision", "Revision of the records in force.",
+		func() float64 { return float64(r.Revision()) })
+	gauge("amr_router_config_age_seconds", "Time since the records were known to be the newest.",
+		func() float64 { return r.follower.Age().Seconds() })
+	gauge("amr_router_peers", "Live routers that the router knows, itself included.",
+		func() float64 { return float64(len(r.hosts.routers())) })
+	gauge("amr_router_explain_pending", "Decisions that are not in the object store.",
+		func() float64 { return float64(r.decisions.recorder.Pending()) })
+	r.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "amr_router_explain_dropped_total",
+		Help: "Decisions dropped because the object store did not take them in time.",
+	}, func() float64 { return float64(r.decisions.recorder.Dropped()) }))
+}
--- a/router/amrrouter/request.go
+++ b/router/amrrouter/request.go
@@ -59,7 +59,7 @@
 
 // newRequest checks a call against the records in force.
 func (r *Router) newRequest(id string, c call) (*request, *refusal) {
-	set := r.follower.Current()
+	set := r.follower.Current().For(id)
 	team, ok := set.Team(c.team)
 	if !ok {
 		return nil, refuse(amrreason.Unauthorized, "")
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -158,6 +158,7 @@
 	r.peers = &peers{connections: newGates(peersConfig)}
 	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.routers))
 	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
+	r.registerState()
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
 	r.membership = newMembership(r.clock, r.log, r.gates, r.platform)
 	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.membership.view, r.placing)
