--- a/core/amrconfig/core.go
+++ b/core/amrconfig/core.go
@@ -30,7 +30,7 @@
 	startSpread    = time.Second     // Over which the first reads after a start are spread.
 
 	snapshotSources  = 4 // Peers asked for a snapshot at once.
-	snapshotInterval = time.Second
+	snapshotInterval = 250 * time.Millisecond
 )
 
 // Core decides when a process reads the records from where. It does no I/O and
@@ -184,13 +184,18 @@
 	}
 }
 
-// act returns the reads that are due.
-func (c *Core) act(now time.Time) []Action {
-	var actions []Action
+// IsReader reports whether the process reads the head for others.
+func (c *Core) IsReader(now time.Time) bool {
 	if slot := slotOf(now); slot != c.slot {
 		c.slot, c.readers = slot, readers(c.peers, slot)
 	}
-	isReader := slices.ContainsFunc(c.readers, func(p Peer) bool { return p.Name == c.self })
+	return slices.ContainsFunc(c.readers, func(p Peer) bool { return p.Name == c.self })
+}
+
+// act returns the reads that are due.
+func (c *Core) act(now time.Time) []Action {
+	var actions []Action
+	isReader := c.IsReader(now)
 	if c.set.Revision() == 0 && c.confirmed.IsZero() {
 		actions = c.takeSnapshots(now)
 	}
@@ -269,19 +274,14 @@
 		return nil
 	}
 	c.nextSnapshot = now.Add(snapshotInterval)
-	var routers, sidecars []Peer
+	var routers []Peer
 	for _, i := range c.random.Perm(len(c.peers)) {
-		p := c.peers[i]
-		switch {
-		case p.Name == c.self:
-		case p.Sidecar:
-			sidecars = append(sidecars, p)
-		default:
+		if p := c.peers[i]; p.Name != c.self && !p.Sidecar {
 			routers = append(routers, p)
 		}
 	}
 	var actions []Action
-	for _, some := range [][]Peer{routers, sidecars} {
+	for _, some := range [][]Peer{routers, Keepers(c.peers, c.zone)} {
 		for _, p := range some[:min(snapshotSources/2, len(some))] {
 			c.snapshots++
 			actions = append(actions, TakeSnapshot{From: p})
--- a/core/amrconfig/delta.go
+++ b/core/amrconfig/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
@@ -57,6 +58,13 @@
 	return json.Marshal(deltaWire{Changes: changes})
 }
 
+// Whole returns the delta that brings any set up to set. Nobody knows whether
+// it is the newest.
+func Whole(set amrrecord.Set) (Delta, error) {
+	data, err := wholeOf(set)
+	return Delta{Revision: set.Revision(), Age: math.MaxInt64, Data: data}, err
+}
+
 // wholeOf returns the data that brings any set up to set.
 func wholeOf(set amrrecord.Set) ([]byte, error) {
 	all, err := set.MarshalBinary()
--- a/core/amrconfig/errors.go
+++ b/core/amrconfig/errors.go
@@ -20,3 +20,8 @@
 	// with the same token.
 	Unresolved = namespace.NewType("unresolved", errorx.Temporary())
 )
+
+// IsTooOld reports whether the error is of kind TooOld.
+func IsTooOld(err error) bool {
+	return errorx.IsOfType(err, TooOld)
+}
--- a/core/amrconfig/follower.go
+++ b/core/amrconfig/follower.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// Time between two looks at the list of peers.
+	// Time between two looks at the list of peers, and while the process has no
+	// records yet.
 	membersInterval = time.Second
+	startInterval   = 50 * time.Millisecond
 
 	// Time for one call beyond the time that a peer may wait.
 	callTimeout = time.Second
@@ -107,6 +109,13 @@
 	return f.core.Age(f.clock.Now())
 }
 
+// IsReader reports whether the process reads the head for others.
+func (f *Follower) IsReader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.IsReader(f.clock.Now())
+}
+
 // Heard notes that another process has seen the revision.
 func (f *Follower) Heard(revision uint64) {
 	f.mu.Lock()
@@ -147,12 +156,13 @@
 	var members time.Time
 	for event := Event(Tick{}); ; {
 		now := f.clock.Now()
-		if now.Sub(members) >= membersInterval {
+		interval := f.membersInterval()
+		if now.Sub(members) >= interval {
 			members = now
 			f.act(ctx, g, Members{Peers: f.listPeers()})
 		}
 		next := f.act(ctx, g, event)
-		timer := f.clock.NewTimer(next.Sub(f.clock.Now()))
+		timer := f.clock.NewTimer(min(next.Sub(f.clock.Now()), interval))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -165,6 +175,13 @@
 	}
 }
 
+func (f *Follower) membersInterval() time.Duration {
+	if f.Current().Revision() == 0 {
+		return startInterval
+	}
+	return membersInterval
+}
+
 // act lets the core handle the event, starts what it asks for and returns when
 // it wants the next event at the latest.
 func (f *Follower) act(ctx context.Context, g *errgroup.Group, event Event) time.Time {
--- a/core/amrconfig/readers.go
+++ b/core/amrconfig/readers.go
@@ -15,6 +15,10 @@
 	// Routers in each availability zone that read the head.
 	readersPerZone = 2
 
+	// Sidecars in each availability zone that hold a snapshot for routers that
+	// start while the store is down and no router has the records.
+	keepersPerZone = 2
+
 	// Time after which other routers take over as readers.
 	slotLength = time.Minute
 )
@@ -46,9 +50,7 @@
 	var all []Peer
 	for _, name := range slices.Sorted(maps.Keys(zones)) {
 		zone := zones[name]
-		slices.SortFunc(zone, func(a, b candidate) int {
-			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
-		})
+		slices.SortFunc(zone, byScore)
 		for _, c := range zone[:min(readersPerZone, len(zone))] {
 			all = append(all, c.Peer)
 		}
@@ -56,6 +58,27 @@
 	return all
 }
 
+// Keepers returns the sidecars of the availability zone that hold a snapshot of
+// the records. They stay the same while the sidecars do.
+func Keepers(peers []Peer, zone string) []Peer {
+	var all []candidate
+	for _, p := range peers {
+		if p.Sidecar && p.AvailabilityZone == zone {
+			all = append(all, candidate{p, p.score(0)})
+		}
+	}
+	slices.SortFunc(all, byScore)
+	keepers := make([]Peer, 0, keepersPerZone)
+	for _, c := range all[:min(keepersPerZone, len(all))] {
+		keepers = append(keepers, c.Peer)
+	}
+	return keepers
+}
+
+func byScore(a, b candidate) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
+}
+
 type candidate struct {
 	Peer
 	score float64
--- /dev/null
+++ b/router/amrrouter/keep.go
@@ -0,0 +1,63 @@
+package amrrouter
+
+import (
+	"context"
+	"time"
+
+	"amaranthreach.example/core/amrconfig"
+	"amaranthreach.example/core/amrgate"
+)
+
+const keepInterval = 2 * time.Second // Between updates of the snapshots.
+
+// keepSnapshots brings the snapshots that sidecars of the availability zone
+// hold up to date while the router is a reader. A failure is made good by the
+// next update.
+func (r *Router) keepSnapshots(ctx context.Context) error {
+	kept := map[string]uint64{} // Revision that each sidecar is known to hold.
+	ticker := r.clock.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+		if !r.follower.IsReader() {
+			clear(kept) // A sidecar may restart meanwhile.
+			continue
+		}
+		for _, keeper := range amrconfig.Keepers(r.hosts.all(), r.settings.AvailabilityZone) {
+			if kept[keeper.Name] >= r.Revision() {
+				continue
+			}
+			held, err := r.keep(ctx, keeper)
+			if err != nil {
+				r.log.Debug("snapshot-not-kept", "sidecar", keeper.Name, "error", err)
+				continue
+			}
+			kept[keeper.Name] = held
+		}
+	}
+}
+
+// keep sends the sidecar what is above the revision that it holds, and returns
+// the revision that it holds then.
+func (r *Router) keep(ctx context.Context, keeper amrconfig.Peer) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	client := r.gates.client(ctx, keeper.Address)
+	held, err := client.Keep(ctx, &amrgate.KeepRequest{})
+	if err != nil || held.GetRevision() >= r.Revision() {
+		return held.GetRevision(), err
+	}
+	delta, err := r.follower.Pull(ctx, held.GetRevision(), 0)
+	if amrconfig.IsTooOld(err) {
+		delta, err = amrconfig.Whole(r.follower.Current())
+	}
+	if err != nil {
+		return 0, err
+	}
+	held, err = client.Keep(ctx, &amrgate.KeepRequest{Revision: delta.Revision, Data: delta.Data})
+	return held.GetRevision(), err
+}
--- a/router/amrrouter/peers.go
+++ b/router/amrrouter/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"storj.io/drpc/drpcmanager"
@@ -12,6 +13,7 @@
 
 	"amaranthreach.example/core/amrconfig"
 	"amaranthreach.example/core/amrexplain"
+	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrlimit"
 	"amaranthreach.example/core/amrpeer"
 )
@@ -112,6 +114,7 @@
 // peers calls other routers.
 type peers struct {
 	connections *gates
+	sidecars    *gates
 }
 
 func (p *peers) client(ctx context.Context, address string) amrpeer.DRPCPeerClient {
@@ -120,6 +123,9 @@
 
 // Pull implements amrconfig.Peers.
 func (p *peers) Pull(ctx context.Context, from amrconfig.Peer, above uint64, wait time.Duration) (amrconfig.Delta, error) {
+	if from.Sidecar {
+		return p.snapshot(ctx, from, above)
+	}
 	reply, err := p.client(ctx, from.Address).Pull(ctx, &amrpeer.PullRequest{Above: above, WaitMs: wait.Milliseconds()})
 	if err != nil {
 		return amrconfig.Delta{}, err
@@ -131,6 +137,15 @@
 	}, nil
 }
 
+// snapshot returns the records that a sidecar holds.
+func (p *peers) snapshot(ctx context.Context, from amrconfig.Peer, above uint64) (amrconfig.Delta, error) {
+	reply, err := p.sidecars.client(ctx, from.Address).Snapshot(ctx, &amrgate.SnapshotRequest{Above: above})
+	if err != nil {
+		return amrconfig.Delta{}, err
+	}
+	return amrconfig.Delta{Revision: reply.GetRevision(), Age: math.MaxInt64, Data: reply.GetData()}, nil
+}
+
 // account tells the accountant at the address what the router used.
 func (p *peers) account(ctx context.Context, address, router string, usages []amrlimit.Usage) ([]amrlimit.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -155,8 +155,8 @@
 	}
 	self := amrconfig.Peer{Name: settings.Name, Address: settings.PeersAddress, AvailabilityZone: settings.AvailabilityZone}
 	r.hosts = newHosts(r.platform, r.clock, self)
-	r.peers = &peers{connections: newGates(peersConfig)}
-	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.routers))
+	r.peers = &peers{connections: newGates(peersConfig), sidecars: r.gates}
+	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.all))
 	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
 	r.registerState()
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
@@ -205,6 +205,7 @@
 	group.Go(func() error { return r.decisions.recorder.Run(background) })
 	group.Go(func() error { return r.hosts.run(background) })
 	group.Go(func() error { return r.limits.run(background) })
+	group.Go(func() error { return r.keepSnapshots(background) })
 	group.Go(func() error { return r.servePeers(background) })
 	group.Go(func() error { return r.membership.run(background) })
 	group.Go(func() error { return r.rollouts.run(background) })
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -13,6 +13,7 @@
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrrecord"
 )
 
 // maxStored is how many stored blocks one load may tell of.
@@ -32,6 +33,7 @@
 	mu       sync.Mutex
 	draining bool
 	floor    amrconfig.Floor
+	snapshot amrrecord.Set // Kept for routers that start.
 	running  int
 	idleCh   chan struct{} // Closed when draining and nothing is in progress.
 }
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -318,6 +318,13 @@
 	if s.Service != nil {
 		settings.BackendType = amrsidecar.BackendService
 	}
+	f.Platform.SetHost(amrplatform.Host{
+		Name:             s.Name,
+		Address:          s.address,
+		AvailabilityZone: s.AvailabilityZone,
+		Role:             amrplatform.RoleSidecar,
+		State:            amrplatform.HostLive,
+	})
 	options := []amrsidecar.Option{
 		amrsidecar.WithLogger(f.log),
 		amrsidecar.WithListeners(amrsidecar.Listeners{Gate: gate, Metrics: metrics}),
