Keep a killed router from holding up its restart in a replay

A kill waits for the requests behind the closed sockets, with the long stop grace of a replay for minutes, so the router never came back. Callers now also try again while no router takes connections, as a balancer does.

--- a/standin/amrreplay/caller.go
+++ b/standin/amrreplay/caller.go
@@ -10,14 +10,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"amaranthreach.example/core/amrsse"
 	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrfleet"
+	"amaranthreach.example/standin/amrpace"
 	"amaranthreach.example/standin/amrtrace"
 )
 
 const (
 	maxSends      = 2 // A caller sends again once when its connection is cut.
+	maxConnects   = 500
+	connectPause  = 10 * time.Millisecond // Before all routers are tried again.
 	idleConns     = 1024
 	doneMarker    = "[DONE]"
 	requestIDName = "X-Request-Id"
@@ -52,17 +57,19 @@
 type caller struct {
 	urls    []string // Of routers, which keep them over restarts.
 	client  *http.Client
+	clock   clockwork.Clock
 	timeout time.Duration
 	next    atomic.Uint64
 }
 
-func newCaller(routers []*amrfleet.RouterProcess, timeout time.Duration) *caller {
+func newCaller(clock clockwork.Clock, routers []*amrfleet.RouterProcess, timeout time.Duration) *caller {
 	urls := make([]string, len(routers))
 	for i, r := range routers {
 		urls[i] = r.CallersURL()
 	}
 	return &caller{
 		urls:    urls,
+		clock:   clock,
 		timeout: timeout,
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}},
 	}
@@ -141,14 +148,19 @@
 	return got.read(response.Body, body.answer, now)
 }
 
-// post tries each router until one takes the connection.
+// post tries each router, again and again, until one takes the connection.
 func (c *caller) post(ctx context.Context, body requestBody) (response *http.Response, err error) {
 	turn := c.next.Add(1)
-	for i := range c.urls {
-		url := c.urls[(turn+uint64(i))%uint64(len(c.urls))]
-		response, err = c.postTo(ctx, url, body)
-		if err == nil || !isDialError(err) {
-			return response, err
+	for range maxConnects {
+		for i := range c.urls {
+			url := c.urls[(turn+uint64(i))%uint64(len(c.urls))]
+			response, err = c.postTo(ctx, url, body)
+			if err == nil || !isDialError(err) {
+				return response, err
+			}
+		}
+		if amrpace.SleepUntil(ctx, c.clock, c.clock.Now().Add(connectPause)) != nil {
+			break
 		}
 	}
 	return nil, err
--- a/standin/amrreplay/inject.go
+++ b/standin/amrreplay/inject.go
@@ -80,10 +80,10 @@
 	switch {
 	case strings.HasPrefix(f.Target, routerName):
 		r := p.router(f.Target)
-		return p.bounce(f.Target, func() { end(r.Process, f.Kind); p.wait(ctx, down) }, func() error { return p.fleet.StartRouter(r) })
+		return p.bounce(f.Target, func() { p.end(r.Process, f.Kind); p.wait(ctx, down) }, func() error { return p.fleet.StartRouter(r) })
 	case strings.HasPrefix(f.Target, sidecarName):
 		s := p.server(engineName + strings.TrimPrefix(f.Target, sidecarName))
-		return p.bounce(s.Name, func() { end(s.Sidecar, f.Kind); p.wait(ctx, down) }, func() error { return p.fleet.StartSidecar(s) })
+		return p.bounce(s.Name, func() { p.end(s.Sidecar, f.Kind); p.wait(ctx, down) }, func() error { return p.fleet.StartSidecar(s) })
 	case f.Kind == FaultRestart:
 		p.server(f.Target).Engine.Restart()
 	default:
@@ -101,9 +101,14 @@
 	return start()
 }
 
-func end(process *amrfleet.Process, kind FaultKind) {
+// end ends a process. One that is killed may go on for a while behind its
+// closed sockets, as a process does that a partition has cut off.
+func (p *play) end(process *amrfleet.Process, kind FaultKind) {
 	if kind == FaultCrash {
-		process.Kill()
+		p.killed.Go(func() error {
+			process.Kill()
+			return nil
+		})
 		return
 	}
 	_ = process.Stop() // It may end with requests cut, which callers then see.
@@ -115,7 +120,7 @@
 		if target != "" && r.Name() != target {
 			continue
 		}
-		err := p.bounce(r.Name(), func() { end(r.Process, FaultRestart) }, func() error { return p.fleet.StartRouter(r) })
+		err := p.bounce(r.Name(), func() { p.end(r.Process, FaultRestart) }, func() error { return p.fleet.StartRouter(r) })
 		if err != nil {
 			return err
 		}
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -35,6 +35,7 @@
 	caller   *caller
 	begin    time.Time
 	calls    []call
+	killed   errgroup.Group         // Processes that were killed and have not ended.
 	failing  map[string]*sync.Mutex // By process: held while it fails, so that faults of one come one after the other.
 }
 
@@ -57,7 +58,7 @@
 		p.stop()
 		return nil, err
 	}
-	p.caller = newCaller(p.fleet.Routers, 2*p.settings.scaled(deadline))
+	p.caller = newCaller(p.settings.clock, p.fleet.Routers, 2*p.settings.scaled(deadline))
 	return p, nil
 }
 
@@ -120,6 +121,7 @@
 		p.caller.close()
 	}
 	_ = p.fleet.Stop()
+	_ = p.killed.Wait()
 }
 
 // run sends all requests and waits for their answers.
