--- a/sidecar/amrsidecar/admission.go
+++ b/sidecar/amrsidecar/admission.go
@@ -206,6 +206,12 @@
 
 // cost returns the wait of a request that arrives now and how many of its
 // leading blocks will be cached by then.
+func (a *admission) uncomputed() []amradmit.Request {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Uncomputed()
+}
+
 func (a *admission) cost(keys []amrprompt.Key) (wait time.Duration, blocks int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"amaranthreach.example/core/amradmit"
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrserve"
@@ -143,6 +144,12 @@
 	return s.gate.admission.cost(keys)
 }
 
+// Uncomputed returns the requests whose prompts are not computed yet: those
+// handed to the engine, then those that wait.
+func (s *Sidecar) Uncomputed() []amradmit.Request {
+	return s.gate.admission.uncomputed()
+}
+
 func (s *Sidecar) listen() error {
 	var err error
 	if s.listeners.Gate == nil {
--- a/standin/amrengine/cache.go
+++ b/standin/amrengine/cache.go
@@ -8,25 +8,20 @@
 )
 
 // blockCache holds blocks under their keys and evicts the least recently used
-// one that no running request pins.
+// one. A running request keeps what it uses in memory of its own.
 type blockCache struct {
 	capacity  int
-	blocks    map[amrprompt.Key]*block
-	idle      *list.List // Keys of blocks that are not pinned, most recent first.
+	blocks    map[amrprompt.Key]*list.Element // Places in recent.
+	recent    *list.List                      // Keys, the most recently used first.
 	directory *Directory
 	publish   func(eventKind, amrprompt.Key)
 }
 
-type block struct {
-	pins    int
-	element *list.Element // Place in idle; nil while pinned.
-}
-
 func newBlockCache(capacity int, directory *Directory, publish func(eventKind, amrprompt.Key)) *blockCache {
 	return &blockCache{
-		capacity:  capacity,
-		blocks:    make(map[amrprompt.Key]*block),
-		idle:      list.New(),
+		capacity:  max(1, capacity),
+		blocks:    make(map[amrprompt.Key]*list.Element),
+		recent:    list.New(),
 		directory: directory,
 		publish:   publish,
 	}
@@ -42,73 +37,47 @@
 	return len(keys)
 }
 
-// pin keeps the blocks from eviction until unpin.
-func (c *blockCache) pin(keys []amrprompt.Key) {
-	for _, k := range keys {
-		b := c.blocks[k]
-		if b.pins == 0 {
-			c.idle.Remove(b.element)
-			b.element = nil
-		}
-		b.pins++
+// use makes the blocks the most recently used, the deepest of them least. It
+// ends at the first one that is not cached.
+func (c *blockCache) use(keys []amrprompt.Key) {
+	for i := c.depth(keys) - 1; i >= 0; i-- {
+		c.recent.MoveToFront(c.blocks[keys[i]])
 	}
 }
 
-// unpin releases blocks. The deepest becomes the first to be evicted.
-func (c *blockCache) unpin(keys []amrprompt.Key) {
-	for i := len(keys) - 1; i >= 0; i-- {
-		b := c.blocks[keys[i]]
-		if b == nil {
-			continue
-		}
-		b.pins--
-		if b.pins == 0 {
-			b.element = c.idle.PushFront(keys[i])
-		}
-	}
-}
-
-// store adds the blocks and pins them, as far as there is room. It returns the
-// keys that are pinned.
-func (c *blockCache) store(keys []amrprompt.Key) []amrprompt.Key {
-	for i, k := range keys {
-		if c.blocks[k] == nil && !c.add(k) {
-			return keys[:i]
+// store adds the blocks that are not cached.
+func (c *blockCache) store(keys []amrprompt.Key) {
+	for _, k := range keys {
+		if c.blocks[k] == nil {
+			c.add(k)
 		}
-		c.pin(keys[i : i+1])
 	}
-	return keys
+	c.use(keys)
 }
 
-func (c *blockCache) add(k amrprompt.Key) bool {
-	if len(c.blocks) >= c.capacity && !c.evict() {
-		return false
+func (c *blockCache) add(k amrprompt.Key) {
+	if len(c.blocks) >= c.capacity {
+		c.evict()
 	}
-	c.blocks[k] = &block{element: c.idle.PushFront(k)}
+	c.blocks[k] = c.recent.PushFront(k)
 	c.directory.add(k)
 	c.publish(eventStored, k)
-	return true
 }
 
-func (c *blockCache) evict() bool {
-	oldest := c.idle.Back()
-	if oldest == nil {
-		return false
-	}
-	k := c.idle.Remove(oldest).(amrprompt.Key)
+func (c *blockCache) evict() {
+	k := c.recent.Remove(c.recent.Back()).(amrprompt.Key)
 	delete(c.blocks, k)
 	c.directory.remove(k)
 	c.publish(eventEvicted, k)
-	return true
 }
 
-// clear drops every block, pinned ones too.
+// clear drops every block.
 func (c *blockCache) clear() {
 	for k := range c.blocks {
 		c.directory.remove(k)
 	}
 	clear(c.blocks)
-	c.idle.Init()
+	c.recent.Init()
 	c.publish(eventCleared, amrprompt.Key{})
 }
 
--- a/standin/amrengine/forecast.go
+++ b/standin/amrengine/forecast.go
@@ -10,14 +10,16 @@
 // Pending is a request that is not yet at the engine but will be before the
 // one in question.
 type Pending struct {
+	RequestID    string
 	Keys         []amrprompt.Key
 	PromptTokens int
 }
 
 // Forecast returns how long a request with the keys would wait for its prefill
 // behind all accepted and pending ones, and how many of its blocks, from the
-// first on, will be cached then. It reports false when the engine takes no
-// requests now.
+// first on, will be cached then. Pending requests that the engine has got
+// meanwhile are left out. It reports false when the engine takes no requests
+// now.
 func (e *Engine) Forecast(pending []Pending, keys []amrprompt.Key) (wait time.Duration, blocks int, up bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -25,6 +27,8 @@
 	if !e.up() {
 		return 0, 0, false
 	}
+	here := e.scheduler.ids()
+	pending = slices.DeleteFunc(pending, func(p Pending) bool { return here[p.RequestID] })
 	wait, blocks = e.scheduler.forecast(e.settings.clock.Now(), pending, keys)
 	return wait, blocks, true
 }
@@ -50,6 +54,18 @@
 	return wait, depth(keys)
 }
 
+// ids returns the ids of all requests at the engine.
+func (s *scheduler) ids() map[string]bool {
+	ids := make(map[string]bool)
+	if s.prefill != nil {
+		ids[s.prefill.id] = true
+	}
+	for _, j := range slices.Concat(s.waiting, s.decoding) {
+		ids[j.id] = true
+	}
+	return ids
+}
+
 // slotWait returns how long it takes until the batch has a place for a request
 // behind the waiting ones and so many others.
 func (s *scheduler) slotWait(now time.Time, others int) time.Duration {
--- a/standin/amrengine/orders.go
+++ b/standin/amrengine/orders.go
@@ -154,7 +154,7 @@
 // mu.
 func (e *Engine) replaceWeights(version string) {
 	e.weights = version
-	e.scheduler.clearCache()
+	e.scheduler.cache.clear()
 	now := e.settings.clock.Now()
 	for _, j := range slices.Clone(e.scheduler.waiting) {
 		if j.weights != "" && j.weights != version {
--- a/standin/amrengine/scheduler.go
+++ b/standin/amrengine/scheduler.go
@@ -46,15 +46,14 @@
 	poison         bool
 	estimate       int // Tokens to compute, as foreseen on arrival.
 
-	run      int             // Index into the log of runs.
-	started  bool            // Prefill has started.
-	cached   int             // Tokens of the prompt that were in the cache.
-	held     int             // Tokens computed although some engine held them.
-	repeated int             // Tokens computed although some engine had computed them before.
-	pinned   []amrprompt.Key // Blocks to release at the end.
-	emitted  int             // Tokens of the answer so far, resumed ones counted.
-	outcome  Outcome         // Empty until the end.
-	wake     chan struct{}   // Signals progress.
+	run      int           // Index into the log of runs.
+	started  bool          // Prefill has started.
+	cached   int           // Tokens of the prompt that were in the cache.
+	held     int           // Tokens computed although some engine held them.
+	repeated int           // Tokens computed although some engine had computed them before.
+	emitted  int           // Tokens of the answer so far, resumed ones counted.
+	outcome  Outcome       // Empty until the end.
+	wake     chan struct{} // Signals progress.
 }
 
 func newScheduler(s settings, log runLog) *scheduler {
@@ -158,24 +157,12 @@
 		crashed = append(crashed, s.prefill)
 	}
 	for _, j := range crashed {
-		j.pinned = nil
 		s.finish(j, OutcomeCrashed, time.Time{})
 	}
 	s.waiting, s.decoding, s.prefill = nil, nil, nil
 	s.cache.clear()
 }
 
-// clearCache drops every block, also those of running jobs.
-func (s *scheduler) clearCache() {
-	for _, j := range s.decoding {
-		j.pinned = nil
-	}
-	if s.prefill != nil {
-		s.prefill.pinned = nil
-	}
-	s.cache.clear()
-}
-
 // running returns the number of requests in prefill or decode.
 func (s *scheduler) running() int {
 	if s.prefill != nil {
@@ -220,8 +207,7 @@
 	j := s.waiting[0]
 	s.waiting = slices.Delete(s.waiting, 0, 1)
 	depth := s.cache.depth(j.keys)
-	s.cache.pin(j.keys[:depth])
-	j.pinned = j.keys[:depth]
+	s.cache.use(j.keys)
 	j.cached = min(depth*amrprompt.TokensPerBlock, j.promptTokens)
 	j.held, j.repeated = s.settings.directory.tokens(j.keys[depth:])
 	j.started = true
@@ -234,9 +220,7 @@
 	j := s.prefill
 	s.prefill = nil
 	s.forget(j)
-	already := len(j.pinned)
-	stored := s.cache.store(j.keys[already:])
-	j.pinned = j.keys[:already+len(stored)]
+	s.cache.store(j.keys)
 	if len(s.decoding) == 0 {
 		s.nextStep = now.Add(s.settings.scaled(s.settings.decodeStep))
 	}
@@ -270,8 +254,6 @@
 
 func (s *scheduler) finish(j *job, outcome Outcome, now time.Time) {
 	j.outcome = outcome
-	s.cache.unpin(j.pinned)
-	j.pinned = nil
 	if j.started {
 		s.log.runEnded(j, now)
 	}
--- a/standin/amrengine/transfer.go
+++ b/standin/amrengine/transfer.go
@@ -97,7 +97,8 @@
 	if e.down || e.incarnation != incarnation {
 		return false
 	}
-	return e.scheduler.cache.blocks[k] != nil || e.scheduler.cache.add(k)
+	e.scheduler.cache.store([]amrprompt.Key{k})
+	return true
 }
 
 // transferBlock puts a block into a KV cache store or gets it from there. It
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -98,8 +99,12 @@
 	url     string
 	address string
 	metrics string
+	gate    atomic.Pointer[amrsidecar.Sidecar]
 }
 
+// Gate returns the sidecar that was started last.
+func (s *Server) Gate() *amrsidecar.Sidecar { return s.gate.Load() }
+
 // URL returns the URL of the backend server itself.
 func (s *Server) URL() string { return s.url }
 
@@ -330,6 +335,7 @@
 		amrsidecar.WithListeners(amrsidecar.Listeners{Gate: gate, Metrics: metrics}),
 	}
 	sidecar := amrsidecar.New(settings, append(options, f.Config.SidecarOptions...)...)
+	s.gate.Store(sidecar)
 	s.Sidecar = start(f.ctx, s.Name, []*trackedListener{gate, metrics}, sidecar.Run)
 	return nil
 }
--- a/standin/amrreplay/command.go
+++ b/standin/amrreplay/command.go
@@ -24,7 +24,8 @@
 hit-rate is the share of prompt tokens that were cached when a run started; recomputed-tokens
 were computed although some engine had computed them before, wasted-tokens although some
 engine still held them. Times count from when a request was due. The policy "ideal" is one cache of the
-fleet's total size shared by all requests.`,
+fleet's total size shared by all requests; "omniscient" sees the true state of every engine and
+of the queue before it at the instant.`,
 		Args: cobra.NoArgs,
 		RunE: f.run,
 	}
@@ -136,7 +137,7 @@
 	f.policies = slices.DeleteFunc(f.policies, func(p string) bool { return p == PolicyIdeal }) // Always printed.
 	known := []string{
 		string(amrrecord.PolicyCacheAware), string(amrrecord.PolicyRoundRobin), string(amrrecord.PolicyLeastLoaded),
-		string(amrrecord.PolicyPrefixHash),
+		string(amrrecord.PolicyPrefixHash), PolicyOmniscient,
 	}
 	for _, p := range f.policies {
 		if !slices.Contains(known, p) {
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -11,7 +11,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/router/amrrouter"
 	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrfleet"
 	"amaranthreach.example/standin/amrpace"
@@ -42,11 +44,16 @@
 // startPlay starts a fleet with the records that the trace needs.
 func startPlay(ctx context.Context, r *Replay, policy string) (*play, error) {
 	p := &play{policy: policy, requests: r.requests, settings: r.settings, calls: make([]call, len(r.requests))}
+	config, truth := p.fleetConfig(), &oracle{}
+	if policy == PolicyOmniscient {
+		config.RouterOptions = append(config.RouterOptions, amrrouter.WithPlacing(amrplace.WithOracle(truth)))
+	}
 	var err error
-	p.fleet, err = amrfleet.Start(context.WithoutCancel(ctx), p.fleetConfig())
+	p.fleet, err = amrfleet.Start(context.WithoutCancel(ctx), config)
 	if err != nil {
 		return nil, err
 	}
+	truth.watch(p.fleet)
 	p.failing = make(map[string]*sync.Mutex)
 	for _, r := range p.fleet.Routers {
 		p.failing[r.Name()] = &sync.Mutex{}
@@ -84,8 +91,12 @@
 // records returns the teams and deployments that the trace names, the routing
 // policy and the backend servers, which the deployments share out.
 func (p *play) records() []amrrecord.Record {
+	policy := amrrecord.Policy(p.policy)
+	if p.policy == PolicyOmniscient {
+		policy = amrrecord.PolicyCacheAware
+	}
 	records := []amrrecord.Record{{Name: routingPolicy, Spec: amrrecord.RoutingPolicy{
-		Policy:          amrrecord.Policy(p.policy),
+		Policy:          policy,
 		RecomputeWeight: p.settings.recomputeWeight,
 		WaitWeight:      p.settings.waitWeight,
 		Deadline:        p.settings.scaled(deadline),
--- a/standin/amrreplay/replay.go
+++ b/standin/amrreplay/replay.go
@@ -27,7 +27,8 @@
 
 // Policies that are not of a routing policy record.
 const (
-	PolicyIdeal = "ideal" // One cache of the fleet's total size shared by all requests.
+	PolicyIdeal      = "ideal"      // One cache of the fleet's total size shared by all requests.
+	PolicyOmniscient = "omniscient" // Sees the true state of every engine at the instant.
 )
 
 // Replay plays a trace.
--- a/standin/amrreplay/replay_test.go
+++ b/standin/amrreplay/replay_test.go
@@ -118,7 +118,7 @@
 	}{
 		{"no trace", nil, `required flag(s) "trace" not set`},
 		{"missing trace", []string{"--trace", "none.jsonl"}, "replay.bad-flag: --trace: name a file of a trace, cause: open none.jsonl: no such file or directory"},
-		{"unknown policy", []string{"--trace", trace, "--policy", "best"}, `replay.bad-flag: --policy: no policy is called "best": use cache-aware, round-robin, least-loaded, prefix-hash or ideal`},
+		{"unknown policy", []string{"--trace", trace, "--policy", "best"}, `replay.bad-flag: --policy: no policy is called "best": use cache-aware, round-robin, least-loaded, prefix-hash, omniscient or ideal`},
 		{"time scale", []string{"--trace", trace, "--time-scale", "0"}, "replay.bad-flag: --time-scale: give a number above 0"},
 		{"engines", []string{"--trace", trace, "--engines", "0"}, "replay.bad-flag: --engines and --routers: give a number above 0"},
 	}
