--- /dev/null
+++ b/core/amrrecord/reference_test.go
@@ -0,0 +1,57 @@
+package amrrecord_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrrecord"
+)
+
+// TestReference checks that the reference lists the keys of each kind and
+// schema version and no others, and that its example is valid.
+func TestReference(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../docs/operators/records.md")
+	is.NoErr(err)
+	reference := string(data)
+	for _, kind := range amrrecord.Kinds() {
+		for version := 1; version <= amrrecord.NewestSchema(kind); version++ {
+			compareKeys(t, reference, kind, version)
+		}
+	}
+	_, example, found := strings.Cut(reference, "```yaml\n")
+	is.True(found)
+	example, _, _ = strings.Cut(example, "```")
+	records, err := amrrecord.Parse("records.md", []byte(example))
+	is.NoErr(err)
+	is.NoErr(amrrecord.Validate(amrrecord.Set{}.With(records...)))
+}
+
+func compareKeys(t *testing.T, reference string, kind amrrecord.Kind, version int) {
+	t.Helper()
+	title := fmt.Sprintf("### %s, schema version %d\n", kind, version)
+	_, section, found := strings.Cut(reference, title)
+	if !found {
+		t.Errorf("the reference lacks the section %q", title)
+		return
+	}
+	section, _, _ = strings.Cut(section, "\n#")
+	listed := map[string]bool{}
+	for _, match := range regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(section, -1) {
+		listed[match[1]] = true
+	}
+	for _, key := range amrrecord.Keys(kind, version) {
+		if !listed[key] {
+			t.Errorf("%s version %d: the reference lacks %s", kind, version, key)
+		}
+		delete(listed, key)
+	}
+	for key := range listed {
+		t.Errorf("%s version %d: the reference has %s, which is no key", kind, version, key)
+	}
+}
--- a/core/amrrecord/schema.go
+++ b/core/amrrecord/schema.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
 )
 
@@ -101,3 +102,26 @@
 func (d duration) IsZero() bool {
 	return d == 0
 }
+
+// Keys returns the keys that may stand under the spec of a record of the kind
+// and schema version, with those of nested lists behind a dot.
+func Keys(kind Kind, version int) []string {
+	s, err := schemaOf(kind, version)
+	if err != nil {
+		return nil
+	}
+	return keysBelow("", reflect.TypeOf(s.newWire()).Elem())
+}
+
+func keysBelow(prefix string, t reflect.Type) []string {
+	var keys []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		key := prefix + keyOf(f)
+		keys = append(keys, key)
+		if f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct {
+			keys = append(keys, keysBelow(key+".", f.Type.Elem())...)
+		}
+	}
+	return keys
+}
