Measure the slopes of each role's costs

Cause: the capacity page needs measured slopes. Change: standin slopes runs the slices at three or more sizes and fits a line with its error. Found on the way: a context of clockwork's fake clock blocks in Err until it is done, so the measurement uses the real clock.

--- /dev/null
+++ b/standin/amrslopes/router.go
@@ -0,0 +1,256 @@
+package amrslopes
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"amaranthreach.example/core/amrexplain"
+	"amaranthreach.example/core/amrmember"
+	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/core/amrplace"
+	"amaranthreach.example/core/amrprompt"
+	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrrecord"
+)
+
+const (
+	deployment   = "m1"
+	promptBlocks = 9
+	loopLength   = 2000
+	changes      = 50
+	seed         = 1
+)
+
+func routerMeasures() []measure {
+	return []measure{
+		{"records-memory", "router", "bytes", "record", []int{3750, 7500, 15000}, recordsMemory},
+		{"record-change-time", "router", "ns", "record", []int{3750, 7500, 15000}, recordChangeTime},
+		{"members-memory", "router", "bytes", "backend server", []int{3000, 6000, 12000}, membersMemory},
+		{"member-reply-time", "router", "ns", "backend server", []int{3000, 6000, 12000}, memberReplyTime},
+		{"place-time", "router", "ns", "backend server", []int{12, 600, 1200, 2400}, placeTime},
+		{"placer-memory", "router", "bytes", "learned key", []int{16384, 32768, 65536}, placerMemory},
+		{"decisions-memory", "router", "bytes", "decision", []int{1000, 2000, 4000}, decisionsMemory},
+		{"decisions-object", "object store", "bytes", "decision", []int{100, 300, 900}, decisionsObject},
+		{"prompt-keys-time", "router", "ns", "block", []int{2, 8, 32}, promptKeysTime},
+	}
+}
+
+func server(i int) amrrecord.BackendServer {
+	return amrrecord.BackendServer{
+		Deployment:       deployment,
+		Address:          fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%11+1),
+	}
+}
+
+func serverName(i int) string {
+	return fmt.Sprintf("server-%05d", i)
+}
+
+// records returns a set of n records in the proportion of 12,000 backend
+// servers to 2,800 teams.
+func records(n int) amrrecord.Set {
+	all := make([]amrrecord.Record, 0, n)
+	for i := range n {
+		if i%15 < 12 {
+			all = append(all, amrrecord.Record{Name: serverName(i), Spec: server(i)})
+			continue
+		}
+		all = append(all, amrrecord.Record{Name: fmt.Sprintf("team-%05d", i), Spec: amrrecord.Team{
+			KeySHA256:         []string{fmt.Sprintf("%064x", i)},
+			Weight:            1,
+			RequestsPerSecond: 4,
+			Concurrency:       100,
+		}})
+	}
+	return amrrecord.Set{}.With(all...)
+}
+
+func recordsMemory(m *meter, size int) (float64, error) {
+	return m.memory(func() any { return records(size) }), nil
+}
+
+func recordChangeTime(m *meter, size int) (float64, error) {
+	set := records(size)
+	took := m.elapsed(func() {
+		for i := range changes {
+			set = set.With(amrrecord.Record{Name: serverName(i * 15), Spec: server(i + 1)})
+		}
+	})
+	return float64(took.Nanoseconds()) / changes, nil
+}
+
+func members(size int) *amrmember.Members {
+	all := amrmember.New(amrmember.WithRand(rand.New(rand.NewPCG(seed, seed))))
+	start := time.Unix(0, 0)
+	for i := range size {
+		all.Apply(start, amrmember.RecordPut{Name: serverName(i), Spec: server(i)})
+		all.Apply(start, replied(i))
+	}
+	return all
+}
+
+func replied(i int) amrmember.Replied {
+	return amrmember.Replied{
+		Name:               serverName(i),
+		SidecarIncarnation: "6f1f8ad2-66b2-4c0c-9f9a-0d5c8f8b0001",
+		EngineIncarnation:  "ff4ae39f6bb44fb8",
+		WeightsVersion:     "w1",
+		Ready:              true,
+	}
+}
+
+func membersMemory(m *meter, size int) (float64, error) {
+	return m.memory(func() any { return members(size) }), nil
+}
+
+func memberReplyTime(m *meter, size int) (float64, error) {
+	all := members(size)
+	now := time.Unix(1, 0)
+	took := m.elapsed(func() {
+		for i := range loopLength {
+			all.Apply(now, replied(i))
+		}
+	})
+	return float64(took.Nanoseconds()) / loopLength, nil
+}
+
+func placer(size int) *amrplace.Placer {
+	view := make([]amrplace.Member, size)
+	for i := range view {
+		view[i] = amrplace.Member{
+			Name:              serverName(i),
+			AvailabilityZone:  fmt.Sprintf("zone-%d", i%11+1),
+			EngineIncarnation: "ff4ae39f6bb44fb8",
+		}
+	}
+	p := amrplace.New(amrplace.WithSeed(seed))
+	p.SetView(amrplace.NewView(view))
+	return p
+}
+
+func blockKeys(random *rand.Rand, n int) []amrprompt.Key {
+	keys := make([]amrprompt.Key, n)
+	for i := range keys {
+		for j := range keys[i] {
+			keys[i][j] = byte(random.Uint32())
+		}
+	}
+	return keys
+}
+
+func placeTime(m *meter, size int) (float64, error) {
+	p := placer(size)
+	random := rand.New(rand.NewPCG(seed, seed))
+	requests := make([]amrplace.Request, loopLength)
+	for i := range requests {
+		requests[i] = amrplace.Request{
+			Keys:         blockKeys(random, promptBlocks),
+			PromptTokens: promptBlocks * amrprompt.TokensPerBlock,
+			Policy:       amrrecord.RoutingPolicy{Policy: amrrecord.PolicyCacheAware, RecomputeWeight: 1, WaitWeight: 1},
+		}
+	}
+	now := time.Unix(1, 0)
+	took := m.elapsed(func() {
+		for _, r := range requests {
+			p.Place(now, r)
+		}
+	})
+	return float64(took.Nanoseconds()) / loopLength, nil
+}
+
+// placerMemory measures a placer of 1,714 backend servers, a seventh of
+// 12,000, that has learned the holders of size keys.
+func placerMemory(m *meter, size int) (float64, error) {
+	const servers = 1714
+	return m.memory(func() any {
+		p := placer(servers)
+		random := rand.New(rand.NewPCG(seed, seed))
+		policy := amrrecord.RoutingPolicy{Policy: amrrecord.PolicyCacheAware, RecomputeWeight: 1, WaitWeight: 1}
+		now := time.Unix(1, 0)
+		for range size / 8 {
+			keys := blockKeys(random, 8)
+			d := p.Place(now, amrplace.Request{Keys: keys, PromptTokens: 8 * amrprompt.TokensPerBlock, Policy: policy})
+			p.Dispatched(d.Candidates[0])
+			p.Accepted(now, d.Candidates[0], keys, 0, amrplace.Load{EngineIncarnation: "ff4ae39f6bb44fb8", PrefillRate: 20000, BatchLimit: 32})
+		}
+		return p
+	}), nil
+}
+
+func decision(i int) amrexplain.Decision {
+	d := amrexplain.Decision{
+		RequestID:        fmt.Sprintf("router-007.5f3a9c21.29660000.%d", i),
+		Team:             fmt.Sprintf("team-%05d", i%2800),
+		Deployment:       deployment,
+		Revision:         123456,
+		Policy:           string(amrrecord.PolicyCacheAware),
+		At:               time.Unix(1, 0),
+		Took:             14 * time.Second,
+		Outcome:          amrexplain.Answered,
+		Ran:              amrreason.DidRun,
+		PromptTokens:     9500,
+		CachedTokens:     8192,
+		CompletionTokens: 482,
+	}
+	for c := range 4 {
+		d.Candidates = append(d.Candidates, amrexplain.Candidate{
+			BackendServer: serverName(i*7%12000 + c),
+			Cost:          time.Duration(i) * time.Microsecond,
+			Wait:          time.Duration(i) * time.Microsecond,
+			CachedTokens:  8192,
+		})
+	}
+	d.Attempts = []amrexplain.Attempt{{BackendServer: d.Candidates[0].BackendServer, After: time.Millisecond, Result: amrexplain.AttemptFinished}}
+	return d
+}
+
+func recorder(size int, objects *amrmemory.Platform) *amrexplain.Recorder {
+	r := amrexplain.NewRecorder("router-007", "5f3a9c21", objects, clockwork.NewRealClock())
+	for i := range size {
+		r.Add(decision(i))
+	}
+	return r
+}
+
+func decisionsMemory(m *meter, size int) (float64, error) {
+	platform := amrmemory.New()
+	return m.memory(func() any { return recorder(size, platform) }), nil
+}
+
+// decisionsObject measures what the object store gets for size decisions.
+func decisionsObject(_ *meter, size int) (float64, error) {
+	platform := amrmemory.New()
+	ctx := context.Background()
+	if err := recorder(size, platform).Flush(ctx); err != nil {
+		return 0, err
+	}
+	keys, err := platform.ListObjects(ctx, "", "", 1000)
+	if err != nil {
+		return 0, err
+	}
+	var bytes int
+	for _, key := range keys {
+		data, err := platform.GetObject(ctx, key)
+		if err != nil {
+			return 0, err
+		}
+		bytes += len(data)
+	}
+	return float64(bytes), nil
+}
+
+func promptKeysTime(m *meter, size int) (float64, error) {
+	text := make([]byte, size*amrprompt.BytesPerBlock)
+	scope := amrprompt.Scope{Team: "recife", Deployment: deployment, WeightsVersion: "w1"}
+	took := m.elapsed(func() {
+		for range 100 {
+			amrprompt.Keys(scope, string(text))
+		}
+	})
+	return float64(took.Nanoseconds()) / 100, nil
+}
