Weigh recomputing by the mean wait, and report by router and sidecar

Change: the weight of recomputing grows with the mean wait, up to three times; a sidecar tells each router its load on chunks once in an interval in place of once for each answer, without what the first reply told, so that the budget of 1.5 KB/s allows an interval of 0.4 s at 12 backend servers.

--- a/core/amrplace/place.go
+++ b/core/amrplace/place.go
@@ -29,6 +29,11 @@
 	// hold of what the first is.
 	secondShare = 0.8
 
+	// congestionWait is the mean wait at which recomputing weighs twice what
+	// the policy says, and maxCongestion bounds the increase.
+	congestionWait = 100 * time.Millisecond
+	maxCongestion  = 2.0
+
 	// deepestHashed is the number of depths, from the deepest, at which keys
 	// are hashed to backend servers.
 	deepestHashed = 10
@@ -73,6 +78,7 @@
 	}
 	p.sortByCost()
 	d := p.decision()
+	d.WaitWeight, d.RecomputeWeight = p.weights(r.Policy)
 	if len(d.Candidates) > 1 {
 		next := d.Candidates[1].Cost
 		d.Bound = next + max(leastMargin, time.Duration(marginShare*float64(next)))
@@ -185,7 +191,7 @@
 }
 
 func (p *Placer) cost(policy amrrecord.RoutingPolicy, s *server, c Candidate) time.Duration {
-	wait, recompute := Weights(policy)
+	wait, recompute := p.weights(policy)
 	cost := time.Duration(wait*float64(c.Wait) + recompute*float64(s.compute(c.UncachedTokens)))
 	if c.UncachedTokens == 0 {
 		cost += time.Duration(s.requests+s.inFlight) * requestCost
@@ -196,11 +202,14 @@
 	return cost
 }
 
-// Weights returns the weights of waiting and of recomputing in the policy. A
-// policy that sets neither weighs them alike.
-func Weights(policy amrrecord.RoutingPolicy) (wait, recompute float64) {
-	if policy.WaitWeight == 0 && policy.RecomputeWeight == 0 {
-		return 1, 1
+// weights returns the weights of waiting and of recomputing. A policy that
+// sets neither weighs them alike. Where requests wait, recomputing also makes
+// others wait longer, so it weighs more with the mean wait.
+func (p *Placer) weights(policy amrrecord.RoutingPolicy) (wait, recompute float64) {
+	wait, recompute = policy.WaitWeight, policy.RecomputeWeight
+	if wait == 0 && recompute == 0 {
+		wait, recompute = 1, 1
 	}
-	return policy.WaitWeight, policy.RecomputeWeight
+	congestion := float64(p.mean.value) / float64(congestionWait)
+	return wait, recompute * (1 + min(congestion, maxCongestion))
 }
--- a/core/amrplace/placer.go
+++ b/core/amrplace/placer.go
@@ -124,6 +124,9 @@
 	// Bound is the cost above which the first candidate should decline; 0
 	// for no bound.
 	Bound time.Duration
+
+	// WaitWeight and RecomputeWeight are the weights of the costs.
+	WaitWeight, RecomputeWeight float64
 }
 
 // Candidate is a backend server that may take the request.
--- a/router/amrrouter/choice.go
+++ b/router/amrrouter/choice.go
@@ -68,7 +68,7 @@
 	}
 	c.bounded++
 	message.MaxCostMs = max(c.plan.bound.Milliseconds(), 1)
-	message.WaitWeight, message.RecomputeWeight = amrplace.Weights(c.request.policy)
+	message.WaitWeight, message.RecomputeWeight = c.plan.waitWeight, c.plan.recomputeWeight
 }
 
 // more reports whether there is a backend server that the request is not at
@@ -102,7 +102,7 @@
 		c.placement.unanswered(c.request, open)
 	}
 	c.running = slices.DeleteFunc(c.running, func(name string) bool { return name == server })
-	c.placement.ended()
+	c.placement.ended(server)
 }
 
 // exclude keeps further attempts from the backend server.
--- a/router/amrrouter/placement.go
+++ b/router/amrrouter/placement.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,11 +17,11 @@
 
 const (
 	// shortestReportInterval is the least time between loads that a sidecar
-	// attaches to the chunks of one answer.
+	// attaches to chunks for the router.
 	shortestReportInterval = 50 * time.Millisecond
 
-	// loadBytes is the size of a load on the wire.
-	loadBytes = 128
+	// loadBytes is the size of a load on a chunk.
+	loadBytes = 48
 
 	// reportBytesPerSecond is what loads on chunks may take of a router's
 	// budget for control.
@@ -56,6 +55,8 @@
 	candidates []candidate
 	bound      time.Duration // Cost above which the first should decline; 0 for none.
 	stored     int           // Blocks stored for others that replies may tell of.
+
+	waitWeight, recomputeWeight float64 // Weights of the costs.
 }
 
 // placement chooses backend servers. It is the shell of one placer for each
@@ -64,10 +65,10 @@
 	clock   clockwork.Clock
 	options []amrplace.Option
 	members func(amrrecord.Set) amrmember.View
-	streams atomic.Int64 // Dispatches in progress.
 
 	mu      sync.Mutex
 	placers map[string]map[string]*placer // By deployment and version of the weights.
+	streams map[string]int                // Dispatches in progress by backend server.
 }
 
 // placer is the placer of a deployment's backend servers that hold a version of
@@ -84,7 +85,13 @@
 	clock clockwork.Clock, name, zone string, members func(amrrecord.Set) amrmember.View, options []amrplace.Option,
 ) *placement {
 	all := []amrplace.Option{amrplace.WithSeed(xxh3.HashString(name)), amrplace.WithAvailabilityZone(zone)}
-	return &placement{clock: clock, options: append(all, options...), members: members, placers: make(map[string]map[string]*placer)}
+	return &placement{
+		clock:   clock,
+		options: append(all, options...),
+		members: members,
+		placers: make(map[string]map[string]*placer),
+		streams: make(map[string]int),
+	}
 }
 
 // plan ranks the backend servers for the request, without the excluded ones
@@ -101,7 +108,7 @@
 		Excluded:     excluded,
 		Known:        known,
 	})
-	made := plan{bound: decision.Bound}
+	made := plan{bound: decision.Bound, waitWeight: decision.WaitWeight, recomputeWeight: decision.RecomputeWeight}
 	if len(placer.addresses) <= toldFleet {
 		made.stored = storedPerReply
 	}
@@ -182,13 +189,19 @@
 // dispatched notes that the request goes to the candidate. A call of
 // accepted, declined or unanswered must follow.
 func (p *placement) dispatched(q *request, c candidate) {
-	p.streams.Add(1)
 	p.with(q.deployment, func(placer *placer) { placer.Dispatched(c.placed) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams[c.name]++
 }
 
 // ended notes the end of a dispatch.
-func (p *placement) ended() {
-	p.streams.Add(-1)
+func (p *placement) ended(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.streams[server]--; p.streams[server] <= 0 {
+		delete(p.streams, server)
+	}
 }
 
 func (p *placement) accepted(q *request, c candidate, accepted *amrgate.Accepted, load *amrgate.Load) {
@@ -226,10 +239,12 @@
 	}
 }
 
-// reportInterval returns the least time between loads on the chunks of one
-// answer, so that all answers together keep to the budget.
+// reportInterval returns the least time between loads that a sidecar attaches
+// to chunks, so that all sidecars together keep to the budget.
 func (p *placement) reportInterval() time.Duration {
-	interval := time.Duration(p.streams.Load()) * loadBytes * time.Second / reportBytesPerSecond
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	interval := time.Duration(len(p.streams)) * loadBytes * time.Second / reportBytesPerSecond
 	return max(interval, shortestReportInterval)
 }
 
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -243,8 +243,10 @@
 
 // observe notes what a sidecar said of itself.
 func (r *Router) observe(name string, load *amrgate.Load) {
-	r.membership.observe(name, load)
-	r.sidecars.observe(name, load, r.clock.Now())
+	if load.GetSidecarIncarnation() != "" { // Loads on chunks are brief.
+		r.membership.observe(name, load)
+		r.sidecars.observe(name, load, r.clock.Now())
+	}
 	r.follower.Heard(load.GetRevision())
 }
 
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -16,8 +16,13 @@
 	"amaranthreach.example/core/amrrecord"
 )
 
-// maxStored is how many stored blocks one load may tell of.
-const maxStored = 64
+const (
+	// maxStored is how many stored blocks one load may tell of.
+	maxStored = 64
+
+	// reportedRouters is how many routers are remembered by their last load.
+	reportedRouters = 1024
+)
 
 // gate serves routers.
 type gate struct {
@@ -33,7 +38,8 @@
 	mu       sync.Mutex
 	draining bool
 	floor    amrconfig.Floor
-	snapshot amrrecord.Set // Kept for routers that start.
+	snapshot amrrecord.Set        // Kept for routers that start.
+	reported map[string]time.Time // When a chunk last told a router the load.
 	running  int
 	idleCh   chan struct{} // Closed when draining and nothing is in progress.
 }
@@ -42,6 +48,7 @@
 	g := &gate{
 		sidecar:   s,
 		admission: newAdmission(s.clock),
+		reported:  make(map[string]time.Time),
 		metrics:   newMetrics(s.registry),
 		claims:    newClaims(s.incarnation, s.clock),
 		idleCh:    make(chan struct{}),
@@ -191,7 +198,6 @@
 	stream   amrgate.DRPCGate_DispatchStream
 	digest   *xxh3.Hasher
 	sequence uint64
-	reported time.Time
 	claim    *claimRun // Nil for idempotent work.
 }
 
@@ -244,10 +250,8 @@
 		Body:    p.body,
 		Tokens:  uint32(p.tokens),
 	}}}
-	interval := time.Duration(a.request.GetReportIntervalMs()) * time.Millisecond
-	if now := a.gate.sidecar.clock.Now(); interval > 0 && now.Sub(a.reported) >= interval {
-		a.reported = now
-		reply.Load = a.load()
+	if a.gate.loadDue(a.request) {
+		reply.Load = brief(a.load())
 	}
 	return a.send(reply)
 }
@@ -306,6 +310,34 @@
 }
 
 // send sends a reply. A claim goes on when its router is gone.
+// loadDue reports whether the dispatching router is to hear the load again.
+func (g *gate) loadDue(request *amrgate.DispatchRequest) bool {
+	interval := time.Duration(request.GetReportIntervalMs()) * time.Millisecond
+	if interval <= 0 {
+		return false
+	}
+	now := g.sidecar.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.reported[request.GetRouter()]) < interval {
+		return false
+	}
+	if len(g.reported) >= reportedRouters {
+		clear(g.reported)
+	}
+	g.reported[request.GetRouter()] = now
+	return true
+}
+
+// brief takes out of a load what the attempt's first reply has told.
+func brief(load *amrgate.Load) *amrgate.Load {
+	load.SidecarIncarnation = ""
+	load.EngineIncarnation = ""
+	load.WeightsVersion = ""
+	load.ClockMs = 0
+	return load
+}
+
 // load returns the load as the dispatching router should hear it.
 func (a *attempt) load() *amrgate.Load {
 	return a.gate.load(a.request.GetRouter(), int(min(a.request.GetMaxStored(), maxStored)))
