Promise the second hashed backend server half

Cause: the two backend servers of a key were believed alike, so routers that knew nothing took either. Change: the second is promised half of what the first is.

--- a/core/amrplace/place.go
+++ b/core/amrplace/place.go
@@ -27,7 +27,7 @@
 
 	// secondShare is what the second backend server of a key is promised to
 	// hold of what the first is.
-	secondShare = 0.8
+	secondShare = 0.5
 
 	// congestionWait is the mean wait at which recomputing weighs twice what
 	// the policy says, and maxCongestion bounds the increase.
