Read the host list once in a router, and pass by routers that do not answer

The list is 1.2 MB at full size; a second reader every 4 s broke the budget. Membership reads it, as seldom as its length asks for, and the routers are noted on the way. Because it lags, a router whose calls failed twice in a row counts as dead for 30 s when accountants are chosen. A record that one being rolled out refers to can't be deleted.

--- a/amrctl/amrcommand/change.go
+++ b/amrctl/amrcommand/change.go
@@ -124,37 +124,34 @@
 // run shows what the change does and then makes it, on the revision that it
 // was shown against.
 func (o *options) run(cmd *cobra.Command, a amendment, change changer) error {
-	repeated := a.token != ""
+	repeated := a.token != "" && !a.dryRun
 	if err := o.amend(&a); err != nil {
 		return err
 	}
-	ctx, cancel, s, err := o.open(cmd.Context())
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	if !repeated {
-		preview := a
-		preview.dryRun = true
-		shown, err := change(ctx, s, preview)
-		if err != nil {
-			return err
+	return o.call(cmd, func(ctx context.Context, s *session) error {
+		if !repeated {
+			preview := a
+			preview.dryRun = true
+			shown, err := change(ctx, s, preview)
+			if err != nil {
+				return err
+			}
+			if err := o.printChanges(shown.Changes); err != nil {
+				return err
+			}
+			if a.dryRun || len(shown.Changes) == 0 {
+				return o.printApplied(shown, len(shown.Changes) == 0)
+			}
+			if a.base == 0 {
+				a.base = shown.Revision
+			}
 		}
-		if err := o.printChanges(shown.Changes); err != nil {
+		done, err := o.change(ctx, a, func(a amendment) (*operators.Applied, error) { return change(ctx, s, a) })
+		if err != nil {
 			return err
 		}
-		if a.dryRun || len(shown.Changes) == 0 {
-			return o.printApplied(shown, len(shown.Changes) == 0)
-		}
-		if a.base == 0 {
-			a.base = shown.Revision
-		}
-	}
-	done, err := o.change(ctx, a, func(a amendment) (*operators.Applied, error) { return change(ctx, s, a) })
-	if err != nil {
-		return err
-	}
-	return o.printApplied(done, false)
+		return o.printApplied(done, false)
+	})
 }
 
 func (o *options) printChanges(changes []*operators.RecordChange) error {
--- a/amrctl/amrcommand/client.go
+++ b/amrctl/amrcommand/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/spf13/cobra"
 	goahttp "goa.design/goa/v3/http"
 
 	"amaranthreach.example/router/gen/http/operators/client"
@@ -50,6 +51,16 @@
 	return ctx, cancel, s, nil
 }
 
+// call connects to a router and lets f use the connection.
+func (o *options) call(cmd *cobra.Command, f func(context.Context, *session) error) error {
+	ctx, cancel, s, err := o.open(cmd.Context())
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return f(ctx, s)
+}
+
 func (o *options) key() (string, error) {
 	if o.keyFile == "" {
 		if key := o.streams.Environ("AMRCTL_KEY"); key != "" {
--- a/amrctl/amrcommand/read.go
+++ b/amrctl/amrcommand/read.go
@@ -1,6 +1,7 @@
 package amrcommand
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strings"
@@ -21,23 +22,20 @@
 		Args:              args(cobra.MaximumNArgs(2)),
 		ValidArgsFunction: completeKinds,
 		RunE: func(cmd *cobra.Command, arguments []string) error {
-			ctx, cancel, s, err := o.open(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			p := &operators.RecordsPayload{Key: s.key, Revision: revision, Variants: variants}
-			if len(arguments) > 0 {
-				p.Kind = &arguments[0]
-			}
-			if len(arguments) > 1 {
-				p.Name = &arguments[1]
-			}
-			held, err := s.Records(ctx, p)
-			if err != nil {
-				return err
-			}
-			return o.printRecords(held)
+			return o.call(cmd, func(ctx context.Context, s *session) error {
+				p := &operators.RecordsPayload{Key: s.key, Revision: revision, Variants: variants}
+				if len(arguments) > 0 {
+					p.Kind = &arguments[0]
+				}
+				if len(arguments) > 1 {
+					p.Name = &arguments[1]
+				}
+				held, err := s.Records(ctx, p)
+				if err != nil {
+					return err
+				}
+				return o.printRecords(held)
+			})
 		},
 	}
 	c.Flags().Uint64Var(&revision, "revision", 0, "revision to show; the newest when 0")
@@ -115,17 +113,14 @@
 		Short: "Check that no entry is missing or edited",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, s, err := o.open(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			result, err := s.Verify(ctx, &operators.VerifyPayload{Key: s.key})
-			if err != nil {
-				return err
-			}
-			return o.print(verifyView{result.Entries}, func(w io.Writer) {
-				fmt.Fprintf(w, "%d entries, none missing or edited\n", result.Entries)
+			return o.call(cmd, func(ctx context.Context, s *session) error {
+				result, err := s.Verify(ctx, &operators.VerifyPayload{Key: s.key})
+				if err != nil {
+					return err
+				}
+				return o.print(verifyView{result.Entries}, func(w io.Writer) {
+					fmt.Fprintf(w, "%d entries, none missing or edited\n", result.Entries)
+				})
 			})
 		},
 	})
@@ -147,28 +142,25 @@
 }
 
 func (o *options) history(cmd *cobra.Command, arguments []string, before uint64, limit int) error {
-	ctx, cancel, s, err := o.open(cmd.Context())
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	p := &operators.HistoryPayload{Key: s.key, Before: before, Limit: limit}
-	if len(arguments) > 0 {
-		p.Record = &arguments[0]
-	}
-	found, err := s.History(ctx, p)
-	if err != nil {
-		return err
-	}
-	views := make([]entryView, 0, len(found.Entries))
-	for _, e := range found.Entries {
-		views = append(views, entryView{e.Revision, e.When, e.Who, e.From, e.Reason, changeViews(e.Changes), e.Digest})
-	}
-	return o.print(views, func(w io.Writer) {
-		fmt.Fprintln(w, "REVISION\tWHEN\tWHO\tFROM\tCHANGED\tREASON")
-		for _, v := range views {
-			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", v.Revision, v.When, v.Who, v.From, namesOf(v.Changes), v.Reason)
+	return o.call(cmd, func(ctx context.Context, s *session) error {
+		p := &operators.HistoryPayload{Key: s.key, Before: before, Limit: limit}
+		if len(arguments) > 0 {
+			p.Record = &arguments[0]
+		}
+		found, err := s.History(ctx, p)
+		if err != nil {
+			return err
 		}
+		views := make([]entryView, 0, len(found.Entries))
+		for _, e := range found.Entries {
+			views = append(views, entryView{e.Revision, e.When, e.Who, e.From, e.Reason, changeViews(e.Changes), e.Digest})
+		}
+		return o.print(views, func(w io.Writer) {
+			fmt.Fprintln(w, "REVISION\tWHEN\tWHO\tFROM\tCHANGED\tREASON")
+			for _, v := range views {
+				fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", v.Revision, v.When, v.Who, v.From, namesOf(v.Changes), v.Reason)
+			}
+		})
 	})
 }
 
@@ -191,16 +183,13 @@
 		Short: "Tell why a request went where it did, or why it did not run",
 		Args:  args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, arguments []string) error {
-			ctx, cancel, s, err := o.open(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			e, err := s.Explain(ctx, &operators.ExplainPayload{Key: s.key, ID: arguments[0]})
-			if err != nil {
-				return err
-			}
-			return o.print(explanationOf(e), func(w io.Writer) { fmt.Fprint(w, e.Text) })
+			return o.call(cmd, func(ctx context.Context, s *session) error {
+				e, err := s.Explain(ctx, &operators.ExplainPayload{Key: s.key, ID: arguments[0]})
+				if err != nil {
+					return err
+				}
+				return o.print(explanationOf(e), func(w io.Writer) { fmt.Fprint(w, e.Text) })
+			})
 		},
 	}
 }
@@ -214,22 +203,19 @@
 		Short: "Show refusals, by team, deployment, reason and time",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, s, err := o.open(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			now := time.Now() //nolint:forbidigo // The flags count from the operator's clock.
-			from, to := now.Add(-since).Format(time.RFC3339), now.Add(-until).Format(time.RFC3339)
-			p := &operators.WhyNotPayload{Key: s.key, Team: &team, Deployment: &deployment, Reason: &reason, Since: &from, Limit: limit}
-			if until > 0 {
-				p.Until = &to
-			}
-			found, err := s.WhyNot(ctx, p)
-			if err != nil {
-				return err
-			}
-			return o.printRefusals(found)
+			return o.call(cmd, func(ctx context.Context, s *session) error {
+				now := time.Now() //nolint:forbidigo // The flags count from the operator's clock.
+				from, to := now.Add(-since).Format(time.RFC3339), now.Add(-until).Format(time.RFC3339)
+				p := &operators.WhyNotPayload{Key: s.key, Team: &team, Deployment: &deployment, Reason: &reason, Since: &from, Limit: limit}
+				if until > 0 {
+					p.Until = &to
+				}
+				found, err := s.WhyNot(ctx, p)
+				if err != nil {
+					return err
+				}
+				return o.printRefusals(found)
+			})
 		},
 	}
 	c.Flags().StringVar(&team, "team", "", "team that was refused; all when empty")
--- a/amrctl/amrcommand/view.go
+++ b/amrctl/amrcommand/view.go
@@ -1,6 +1,7 @@
 package amrcommand
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -117,17 +118,14 @@
 		Short: "Show routers and backend servers, and how fresh their records are",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, s, err := o.open(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			status, err := s.Status(ctx, &operators.StatusPayload{Key: s.key})
-			if err != nil {
-				return err
-			}
-			view := statusOf(status)
-			return o.print(view, view.table)
+			return o.call(cmd, func(ctx context.Context, s *session) error {
+				status, err := s.Status(ctx, &operators.StatusPayload{Key: s.key})
+				if err != nil {
+					return err
+				}
+				view := statusOf(status)
+				return o.print(view, view.table)
+			})
 		},
 	}
 }
--- a/core/amrconfig/change.go
+++ b/core/amrconfig/change.go
@@ -60,16 +60,18 @@
 	})
 }
 
-// validate checks the changed records of the set, and that no record refers to
-// one that was deleted.
+// validate checks the changed records of the set, and that no record that is in
+// force anywhere refers to one that was deleted.
 func (c Change) validate(set amrrecord.Set) error {
 	var errs []error
 	for _, r := range c.Put {
 		errs = append(errs, amrrecord.ValidateRecord(r), set.ValidateReferences(r))
 	}
 	if len(c.Delete) > 0 {
-		for _, r := range set.Records() {
-			errs = append(errs, set.ValidateReferences(r))
+		for _, r := range set.Variants() {
+			if inForce, _ := set.Get(r.ID()); !r.Rollout.IsZero() || r.SchemaVersion == inForce.SchemaVersion {
+				errs = append(errs, set.ValidateReferences(r))
+			}
 		}
 	}
 	return errors.Join(errs...)
--- a/core/amrconfig/store_test.go
+++ b/core/amrconfig/store_test.go
@@ -65,6 +65,37 @@
 	})
 }
 
+// TestDeleteReferred keeps what a record that is being rolled out refers to.
+func TestDeleteReferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		platform := amrmemory.New()
+		store := amrconfig.NewStore(platform, platform)
+		policy := func(name string) amrrecord.Record {
+			return amrrecord.Record{Name: name, Spec: amrrecord.RoutingPolicy{Policy: amrrecord.PolicyCacheAware}}
+		}
+		deployment := func(policy string, rollout amrrecord.Rollout) amrrecord.Record {
+			return amrrecord.Record{Name: "m1", Rollout: rollout, Spec: amrrecord.Deployment{
+				Type: amrrecord.TypeModel, Model: "m1", RoutingPolicy: policy}}
+		}
+		_, err := store.Apply(t.Context(), put(policy("old"), policy("new"), deployment("old", amrrecord.Rollout{}),
+			deployment("new", amrrecord.Rollout{Share: 10})))
+		is.NoErr(err)
+		for _, name := range []string{"old", "new"} {
+			change := put()
+			change.Delete = []amrrecord.ID{{Kind: amrrecord.KindRoutingPolicy, Name: name}}
+			_, err = store.Apply(t.Context(), change)
+			is.True(err != nil) // Both are in force for some requests.
+		}
+		_, err = store.Apply(t.Context(), put(deployment("new", amrrecord.Rollout{})))
+		is.NoErr(err)
+		change := put()
+		change.Delete = []amrrecord.ID{{Kind: amrrecord.KindRoutingPolicy, Name: "old"}}
+		_, err = store.Apply(t.Context(), change)
+		is.NoErr(err)
+	})
+}
+
 func TestApplyLostAnswers(t *testing.T) {
 	faults := map[string]amrmemory.Faults{
 		"lost":    {LoseNext: 3},
--- a/router/amrrouter/hosts.go
+++ b/router/amrrouter/hosts.go
@@ -2,24 +2,25 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"amaranthreach.example/core/amrconfig"
-	"amaranthreach.example/core/amrmember"
 	"amaranthreach.example/core/amrplatform"
 )
 
 const (
-	hostsInterval = 4 * time.Second
-	hostsSpread   = 500 * time.Millisecond
-	hostsTimeout  = 2 * time.Second
+	// Calls in a row that fail before a router counts as dead.
+	peerFailures = 2
+
+	// Time for which a router counts as dead after its calls failed.
+	peerDeadTime = 30 * time.Second
 )
 
-// hosts knows the live routers and sidecars by the platform's host list.
+// hosts is the platform's host list. It notes the routers and sidecars that
+// live whenever the list is read.
 type hosts struct {
 	list  amrplatform.HostList
 	clock clockwork.Clock
@@ -27,10 +28,42 @@
 
 	mu    sync.Mutex
 	known []amrconfig.Peer // This router among them.
+	calls map[string]peerCalls
+}
+
+// peerCalls is how the last calls of a router went.
+type peerCalls struct {
+	failures int
+	last     time.Time // Of the failures.
 }
 
 func newHosts(list amrplatform.HostList, clock clockwork.Clock, self amrconfig.Peer) *hosts {
-	return &hosts{list: list, clock: clock, self: self, known: []amrconfig.Peer{self}}
+	return &hosts{list: list, clock: clock, self: self, known: []amrconfig.Peer{self}, calls: map[string]peerCalls{}}
+}
+
+// Hosts implements amrplatform.HostList.
+func (h *hosts) Hosts(ctx context.Context) ([]amrplatform.Host, error) {
+	list, err := h.list.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	known := []amrconfig.Peer{h.self}
+	for _, host := range list {
+		sidecar := host.Role == amrplatform.RoleSidecar
+		if host.State != amrplatform.HostLive || (host.Name == h.self.Name && !sidecar) {
+			continue
+		}
+		known = append(known, amrconfig.Peer{
+			Name:             host.Name,
+			Address:          host.Address,
+			AvailabilityZone: host.AvailabilityZone,
+			Sidecar:          sidecar,
+		})
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known = known
+	return list, nil
 }
 
 // all returns the live routers and sidecars, this router among them.
@@ -40,7 +73,7 @@
 	return h.known
 }
 
-// routers returns the live routers, this one among them.
+// routers returns the routers that are listed as live, this one among them.
 func (h *hosts) routers() []amrconfig.Peer {
 	var routers []amrconfig.Peer
 	for _, p := range h.all() {
@@ -51,55 +84,39 @@
 	return routers
 }
 
-// named returns another live router.
-func (h *hosts) named(name string) (amrconfig.Peer, bool) {
-	for _, p := range h.routers() {
-		if p.Name == name && name != h.self.Name {
-			return p, true
+// answering returns the names of the routers without those whose calls failed
+// of late: the host list lags.
+func (h *hosts) answering() []string {
+	var names []string
+	routers, now := h.routers(), h.clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range routers {
+		c := h.calls[p.Name]
+		if c.failures < peerFailures || now.Sub(c.last) >= peerDeadTime {
+			names = append(names, p.Name)
 		}
 	}
-	return amrconfig.Peer{}, false
+	return names
 }
 
-// run reads the host list until ctx is done. While it can't be read, the
-// routers that were known last stay known.
-func (h *hosts) run(ctx context.Context) error {
-	_ = h.fetch(ctx) // The loop tries again.
-	fetcher := amrmember.NewFetcher(h.clock.Now(), hostsInterval, hostsSpread, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-h.clock.After(max(0, fetcher.Next().Sub(h.clock.Now()))):
-		}
-		if fetcher.Due(h.clock.Now()) {
-			fetcher.Done(h.clock.Now(), h.fetch(ctx))
-		}
+// called notes how a call of a router went.
+func (h *hosts) called(name string, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		delete(h.calls, name)
+		return
 	}
+	h.calls[name] = peerCalls{failures: h.calls[name].failures + 1, last: h.clock.Now()}
 }
 
-func (h *hosts) fetch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
-	defer cancel()
-	all, err := h.list.Hosts(ctx)
-	if err != nil {
-		return err
-	}
-	known := []amrconfig.Peer{h.self}
-	for _, host := range all {
-		sidecar := host.Role == amrplatform.RoleSidecar
-		if host.State != amrplatform.HostLive || (host.Name == h.self.Name && !sidecar) {
-			continue
+// named returns another live router.
+func (h *hosts) named(name string) (amrconfig.Peer, bool) {
+	for _, p := range h.routers() {
+		if p.Name == name && name != h.self.Name {
+			return p, true
 		}
-		known = append(known, amrconfig.Peer{
-			Name:             host.Name,
-			Address:          host.Address,
-			AvailabilityZone: host.AvailabilityZone,
-			Sidecar:          sidecar,
-		})
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.known = known
-	return nil
+	return amrconfig.Peer{}, false
 }
--- a/router/amrrouter/limits.go
+++ b/router/amrrouter/limits.go
@@ -76,13 +76,9 @@
 // report tells each accountant what is due. A call that fails is made good by
 // the next report.
 func (l *limits) report(ctx context.Context) {
-	var names []string
-	for _, p := range l.hosts.routers() {
-		names = append(names, p.Name)
-	}
 	now := l.clock.Now()
 	l.mu.Lock()
-	l.limiter.SetRouters(names)
+	l.limiter.SetRouters(l.hosts.answering())
 	l.accounts.Expire(now)
 	due := l.limiter.Reports(now)
 	l.mu.Unlock()
@@ -106,6 +102,7 @@
 		return nil
 	}
 	grants, err := l.peers.account(ctx, peer.Address, l.self, usages)
+	l.hosts.called(accountant, err)
 	if err != nil {
 		return nil
 	}
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -160,7 +160,7 @@
 	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
 	r.registerState()
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
-	r.membership = newMembership(r.clock, r.log, r.gates, r.platform)
+	r.membership = newMembership(r.clock, r.log, r.gates, r.hosts)
 	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.membership.view, r.placing)
 	r.rollouts = &rollouts{
 		clock:      r.clock,
@@ -203,7 +203,6 @@
 	group.Go(func() error { return ignoreCanceled(r.follower.Run(background)) })
 	group.Go(func() error { return r.ledger.Maintain(background) })
 	group.Go(func() error { return r.decisions.recorder.Run(background) })
-	group.Go(func() error { return r.hosts.run(background) })
 	group.Go(func() error { return r.limits.run(background) })
 	group.Go(func() error { return r.keepSnapshots(background) })
 	group.Go(func() error { return r.servePeers(background) })
