--- a/core/amrcache/index.go
+++ b/core/amrcache/index.go
@@ -168,6 +168,16 @@
 	x.hold(keys[:cached])
 }
 
+// Latest returns at most n blocks, the one used last at the front, by the
+// first 8 bytes of their keys in little-endian order.
+func (x *Index) Latest(n int) []uint64 {
+	blocks := make([]uint64, 0, min(n, len(x.lookup)))
+	for i := x.slots[sentinel].next; i != sentinel && len(blocks) < n; i = x.slots[i].next {
+		blocks = append(blocks, x.slots[i].id)
+	}
+	return blocks
+}
+
 // Len returns the number of blocks in the index.
 func (x *Index) Len() int {
 	return len(x.lookup)
--- a/core/amrcache/index_test.go
+++ b/core/amrcache/index_test.go
@@ -82,6 +82,16 @@
 	return all
 }
 
+func TestLatest(t *testing.T) {
+	is := is.New(t)
+	x := New()
+	x.Expect(blocks("abc"))
+	x.Computed(blocks("abc"))
+	x.Observed(blocks("ad"), 2, true)
+	is.Equal(x.Latest(3), []uint64{'a', 'd', 'b'})
+	is.Equal(len(x.Latest(9)), 4)
+}
+
 func TestJournal(t *testing.T) {
 	is := is.New(t)
 	var j Journal
--- a/router/amrrouter/placement.go
+++ b/router/amrrouter/placement.go
@@ -231,6 +231,19 @@
 	})
 }
 
+// learn takes the blocks that a backend server holds.
+func (p *placement) learn(set amrrecord.Set, deployment, name string, reply *amrgate.ReportReply) {
+	view := p.members(set)
+	spec, _ := set.Deployment(deployment)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, version := range spec.Versions {
+		placer := p.placer(view, deployment, version.Weights)
+		placer.Reported(p.clock.Now(), name, loadOf(reply.GetLoad()))
+		placer.Stored(name, reply.GetHeld())
+	}
+}
+
 func (p *placement) with(deployment string, do func(*placer)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -207,6 +207,7 @@
 	group.Go(func() error { return r.keepSnapshots(background) })
 	group.Go(func() error { return r.servePeers(background) })
 	group.Go(func() error { return r.membership.run(background) })
+	group.Go(func() error { return r.warmUp(background) })
 	group.Go(func() error { return r.rollouts.run(background) })
 	group.Go(func() error { return r.serveOperators(background) })
 	group.Go(func() error {
--- a/sidecar/amrsidecar/admission.go
+++ b/sidecar/amrsidecar/admission.go
@@ -219,3 +219,10 @@
 	tokens := time.Duration(float64(l.WaitingTokens) / l.PrefillRate * float64(time.Second))
 	return max(l.Wait, tokens), a.index.ExpectedDepth(keys)
 }
+
+// latest returns at most n blocks of the index, the one used last at the front.
+func (a *admission) latest(n int) []uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.index.Latest(n)
+}
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -20,6 +20,9 @@
 	// maxStored is how many stored blocks one load may tell of.
 	maxStored = 64
 
+	// maxHeld is how many held blocks one report may list.
+	maxHeld = 4096
+
 	// reportedRouters is how many routers are remembered by their last load.
 	reportedRouters = 1024
 )
@@ -94,7 +97,11 @@
 // Report returns the state of the sidecar.
 func (g *gate) Report(_ context.Context, request *amrgate.ReportRequest) (*amrgate.ReportReply, error) {
 	_, depth := g.admission.cost(amrprompt.Unpack(request.GetBlockKeys()))
-	return &amrgate.ReportReply{Load: g.load("", 0), CachedBlocks: uint32(depth)}, nil
+	return &amrgate.ReportReply{
+		Load:         g.load("", 0),
+		CachedBlocks: uint32(depth),
+		Held:         g.admission.latest(int(min(request.GetMaxHeld(), maxHeld))),
+	}, nil
 }
 
 // Drain starts or ends draining.
