Load records from a slow store by parts

With 2 s for each call a router that started never had its records: each read hit its timeout of 1 s and began anew (TestLoadSlowly stood at revision 0 of 1,100). A read now has 5 s, and the next one goes on from what it brought. The difference that amrctl shows has no empty lines.

--- a/amrctl/amrcommand/change.go
+++ b/amrctl/amrcommand/change.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/pmezard/go-difflib/difflib"
 	"github.com/spf13/cobra"
@@ -168,14 +169,20 @@
 
 func writeDiff(w io.Writer, c *operators.RecordChange) error {
 	return difflib.WriteUnifiedDiff(w, difflib.UnifiedDiff{
-		A:        difflib.SplitLines(c.Before),
-		B:        difflib.SplitLines(c.After),
+		A:        lines(c.Before),
+		B:        lines(c.After),
 		FromFile: c.Record,
 		ToFile:   c.Record,
 		Context:  3,
 	})
 }
 
+// lines returns the lines of the text, each with its end.
+func lines(text string) []string {
+	all := strings.SplitAfter(text, "\n")
+	return all[:len(all)-1]
+}
+
 type appliedView struct {
 	Revision uint64       `json:"revision"`
 	Changes  []changeView `json:"changes"`
--- a/core/amrconfig/follower.go
+++ b/core/amrconfig/follower.go
@@ -20,6 +20,9 @@
 
 	// Time for one call beyond the time that a peer may wait.
 	callTimeout = time.Second
+
+	// Time for reading the store. What was read by then is kept.
+	readTimeout = 5 * time.Second
 )
 
 // Peers calls other processes for records.
@@ -212,7 +215,7 @@
 func (f *Follower) perform(ctx context.Context, action Action, set amrrecord.Set) Event {
 	switch a := action.(type) {
 	case ReadStore:
-		ctx, cancel := clockwork.WithTimeout(ctx, f.clock, callTimeout)
+		ctx, cancel := clockwork.WithTimeout(ctx, f.clock, readTimeout)
 		defer cancel()
 		began := f.clock.Now()
 		f.store.saw(set)
--- a/core/amrconfig/history_test.go
+++ b/core/amrconfig/history_test.go
@@ -1,10 +1,12 @@
 package amrconfig_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
@@ -114,3 +116,22 @@
 		})
 	}
 }
+
+// TestLoadSlowly loads records from a store so slow that each read hits its
+// timeout: every try gets further.
+func TestLoadSlowly(t *testing.T) {
+	const (
+		latency  = 2 * time.Second
+		patience = time.Minute
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		platform, _ := filled(t, 1100)
+		platform.SetFaults(amrmemory.Faults{Latency: latency})
+		follower := amrconfig.NewFollower(amrconfig.NewStore(platform, platform))
+		ctx, stop := context.WithTimeout(t.Context(), patience)
+		defer stop()
+		is.NoErr(follower.Run(ctx))
+		is.Equal(follower.Current().Revision(), uint64(1100))
+	})
+}
--- a/core/amrconfig/log.go
+++ b/core/amrconfig/log.go
@@ -107,6 +107,7 @@
 		if err != nil {
 			return set, false, err
 		}
+		s.saw(set)
 	}
 	for set.Revision() < h.Revision {
 		entries, err := s.tableEntries(ctx, set.Revision())
@@ -124,8 +125,8 @@
 				return set, false, err
 			}
 		}
+		s.saw(set)
 	}
-	s.saw(set)
 	return set, true, nil
 }
 
