Send a cut request again over a new connection

Cause: under load one of 166 requests of TestReplayWithFaults was neither answered nor refused. Its second sending was reset too: it reused an idle connection to the killed router whose end the client had not read yet. Ruled out: the routers; no answer was broken off by them. Change: the replay's caller drops idle connections before it sends again.

--- a/standin/amrreplay/caller.go
+++ b/standin/amrreplay/caller.go
@@ -119,7 +119,8 @@
 }
 
 // call sends a request and notes what came of it. When its connection is cut,
-// it sends the request again to the next router.
+// it sends the request again to the next router, over a connection that no
+// earlier request used: idle ones to the same router may be dead as well.
 func (c *caller) call(ctx context.Context, body requestBody, got *call, now func() time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -131,6 +132,7 @@
 		if got.outcome != outcomeCut || ctx.Err() != nil {
 			break
 		}
+		c.client.CloseIdleConnections()
 	}
 	got.done = now()
 }
