Name a router of the fleet without its running process

Cause: the race detector found a fault restarting all routers reading the name of one whose process another fault was replacing. Change: the name is that of the settings.

--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -122,6 +122,10 @@
 	peers     string
 }
 
+// Name returns the name of the router. It may be called while the router is
+// being restarted.
+func (r *RouterProcess) Name() string { return r.settings.Name }
+
 // CallersURL returns the URL of the callers' interface.
 func (r *RouterProcess) CallersURL() string {
 	if r.settings.CallersTLS.Enabled() {
