Tell of stored blocks also when the engine's event comes first

A backend server that left the view for a moment lost all that was learned of it. Change: the depth is noted when the prompt is handed to the engine; absent backend servers are remembered for a while.

--- a/core/amrplace/placer.go
+++ b/core/amrplace/placer.go
@@ -24,6 +24,10 @@
 	// candidate.
 	wholeView = 32
 
+	// absentKept is how many backend servers that left the view are
+	// remembered at least, since they may return.
+	absentKept = 16
+
 	// sampled is the number of candidates drawn at random from a larger view.
 	sampled = 4
 
@@ -156,7 +160,8 @@
 	SourcePolicy  Source = "policy" // A policy that knows no caches chose it.
 )
 
-// SetView sets the backend servers. What is known of those that stay is kept.
+// SetView sets the backend servers. What is known of those that stay is kept,
+// and for a while that of those that leave.
 func (p *Placer) SetView(v View) {
 	p.view = v
 	for _, s := range p.slots {
@@ -175,7 +180,9 @@
 		p.servers[i] = s
 		p.sawEngine(s, m.EngineIncarnation)
 	}
-	p.removeAbsent()
+	if len(p.byName) > len(v.members)+max(len(v.members), absentKept) {
+		p.removeAbsent()
+	}
 }
 
 func (p *Placer) add(name string) *server {
--- a/sidecar/amrsidecar/admission.go
+++ b/sidecar/amrsidecar/admission.go
@@ -36,6 +36,7 @@
 	wait         time.Duration
 	retryAfter   time.Duration
 	cachedTokens int
+	depth        int           // Blocks cached when it was handed to the engine.
 	decided      chan struct{} // Closed when it may run or was dismissed.
 	dismissed    amrreason.Code
 	computed     bool
@@ -117,7 +118,7 @@
 	t.computed = true
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.journal.Add(t.router, t.keys[a.index.Depth(t.keys):])
+	a.journal.Add(t.router, t.keys[t.depth:])
 	a.handle(amradmit.Computed{ID: t.id})
 }
 
@@ -181,6 +182,7 @@
 		return
 	}
 	t.dismissed = dismissed
+	t.depth = a.index.Depth(t.keys)
 	close(t.decided)
 }
 
