--- a/router/amrrouter/callers.go
+++ b/router/amrrouter/callers.go
@@ -16,6 +16,7 @@
 
 	"amaranthreach.example/core/amrgate"
 	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrrecord"
 	"amaranthreach.example/router/gen/callers"
 )
 
@@ -31,9 +32,14 @@
 
 type teamKey struct{}
 
+const (
+	recordsWait = 5 * time.Second // For the records after a start.
+	recordsPoll = 10 * time.Millisecond
+)
+
 // APIKeyAuth finds the team of a bearer key.
 func (s *callersService) APIKeyAuth(ctx context.Context, key string, _ *security.APIKeyScheme) (context.Context, error) {
-	set := s.router.follower.Current()
+	set := s.router.records(ctx)
 	if set.Revision() == 0 {
 		return ctx, s.router.refused(identityOf(ctx).id, "", refuse(amrreason.NotReady, "").withRetryAfter(time.Second))
 	}
@@ -45,6 +51,26 @@
 	return context.WithValue(ctx, teamKey{}, team), nil
 }
 
+// records returns the records in force. A router that has just started waits
+// for them, so that the first requests need not be sent again.
+func (r *Router) records(ctx context.Context) amrrecord.Set {
+	set := r.follower.Current()
+	if set.Revision() > 0 {
+		return set
+	}
+	ticker := r.clock.NewTicker(recordsPoll)
+	defer ticker.Stop()
+	for waited := time.Duration(0); set.Revision() == 0 && waited < recordsWait; waited += recordsPoll {
+		select {
+		case <-ctx.Done():
+			return set
+		case <-ticker.Chan():
+			set = r.follower.Current()
+		}
+	}
+	return set
+}
+
 // Chat answers a chat completion.
 func (s *callersService) Chat(ctx context.Context, p *callers.ChatPayload) (*callers.Answer, io.ReadCloser, error) {
 	return s.answer(ctx, call{
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -166,7 +166,7 @@
 // drain declines new work and waits until no request is in progress, the
 // grace time is over, or ctx is done.
 func (s *Sidecar) drain(ctx context.Context) {
-	s.gate.setDraining(true)
+	s.gate.stop()
 	s.log.Info("sidecar-draining", "in-flight", s.gate.inFlight())
 	select {
 	case <-s.gate.idle():
--- a/standin/amrfleet/process.go
+++ b/standin/amrfleet/process.go
@@ -2,12 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 )
 
+const (
+	listenPause = 20 * time.Millisecond
+	listenWait  = 5 * time.Second
+)
+
 // Process is a router, a sidecar or an outside system that runs in this
 // process on sockets of its own.
 type Process struct {
@@ -68,9 +77,16 @@
 	dead  bool
 }
 
-// listen opens a socket on the address, which may leave the port open.
+// listen opens a socket on the address, which may leave the port open. A port
+// that an outgoing connection has taken meanwhile is awaited.
 func listen(address string) (*trackedListener, error) {
 	l, err := net.Listen("tcp", address)
+	ticker := clockwork.NewRealClock().NewTicker(listenPause)
+	defer ticker.Stop()
+	for waited := time.Duration(0); errors.Is(err, syscall.EADDRINUSE) && waited < listenWait; waited += listenPause {
+		<-ticker.Chan()
+		l, err = net.Listen("tcp", address)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,6 +15,7 @@
 	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrrecord"
 	"amaranthreach.example/router/amrrouter"
+	"amaranthreach.example/sidecar/amrsidecar"
 	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrfleet"
 	"amaranthreach.example/standin/amrpace"
@@ -25,6 +27,9 @@
 	flushTokens      = 8
 	progressInterval = 5 * time.Second
 	deadline         = 10 * time.Minute // Of the trace.
+	orderTTL         = time.Second      // Of the trace, as the times below.
+	orderTimeout     = 2 * time.Second
+	orderSettle      = 500 * time.Millisecond
 	routingPolicy    = "replayed"
 )
 
@@ -38,6 +43,7 @@
 	begin    time.Time
 	calls    []call
 	killed   errgroup.Group         // Processes that were killed and have not ended.
+	races    atomic.Int64           // Changes by racing operators so far.
 	failing  map[string]*sync.Mutex // By process: held while it fails, so that faults of one come one after the other.
 }
 
@@ -77,6 +83,8 @@
 	c.TimeScale = p.settings.timeScale
 	c.Log = p.settings.log
 	c.StopGrace = p.settings.scaled(deadline) // A planned stop cuts no request.
+	c.RouterOptions = append(c.RouterOptions, amrrouter.WithOrderTimes(p.settings.scaled(orderTTL), p.settings.scaled(orderTimeout)))
+	c.SidecarOptions = append(c.SidecarOptions, amrsidecar.WithOrderSettle(p.settings.scaled(orderSettle)))
 	c.EngineOptions = []amrengine.Option{
 		amrengine.WithCacheBlocks(p.settings.cacheBlocks),
 		amrengine.WithDirectory(amrengine.NewDirectory()),
--- a/standin/main.go
+++ b/standin/main.go
@@ -38,7 +38,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(demoCommand(), serveCommand(), slopesCommand(), amrreplay.Command(), amrload.Command(), amrtrace.Command())
+	c.AddCommand(demoCommand(), serveCommand(), slopesCommand(), amrreplay.Command(), amrreplay.SoakCommand(), amrload.Command(), amrtrace.Command())
 	return c
 }
 
