--- a/core/amrrecord/record_test.go
+++ b/core/amrrecord/record_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -133,21 +134,53 @@
 	})
 }
 
-// BenchmarkSetWith changes one backend server of 12,000 beside 2,800 teams.
-func BenchmarkSetWith(b *testing.B) {
-	const (
-		servers     = 12000
-		teams       = 2800
-		deployments = 7
-	)
+const (
+	servers     = 12000
+	teams       = 2800
+	deployments = 7
+)
+
+// fullSet returns 12,000 backend servers and 2,800 teams.
+func fullSet() amrrecord.Set {
 	var records []amrrecord.Record
 	for i := range servers {
 		records = append(records, server(i, deployments, false))
 	}
 	for i := range teams {
-		records = append(records, amrrecord.Record{Name: fmt.Sprint("t", i), Spec: amrrecord.Team{KeySHA256: []string{fmt.Sprint(i)}}})
+		records = append(records, amrrecord.Record{Name: fmt.Sprint("team-", i), Spec: amrrecord.Team{
+			KeySHA256: []string{amrrecord.KeyDigest(fmt.Sprint(i))}, RequestsPerSecond: float64(i)}})
+	}
+	return amrrecord.Set{}.With(records...)
+}
+
+// BenchmarkSnapshot writes and reads a whole set. It reports the size of the
+// snapshot and of the set in memory.
+func BenchmarkSnapshot(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	set := fullSet()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	var size int
+	for b.Loop() {
+		data, err := set.MarshalBinary()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+		var back amrrecord.Set
+		if err := back.UnmarshalBinary(data); err != nil {
+			b.Fatal(err)
+		}
 	}
-	set := amrrecord.Set{}.With(records...)
+	b.ReportMetric(float64(size), "snapshot-bytes")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "set-bytes")
+}
+
+// BenchmarkSetWith changes one backend server of a whole set.
+func BenchmarkSetWith(b *testing.B) {
+	set := fullSet()
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		set = set.With(server(i%servers, deployments, i/servers%2 == 0))
--- /dev/null
+++ b/sidecar/amrsidecar/floor_test.go
@@ -0,0 +1,104 @@
+package amrsidecar_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcconn"
+
+	"amaranthreach.example/core/amrconfig"
+	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/sidecar/amrsidecar"
+)
+
+// startSidecar runs a sidecar of a plain service that is down, and returns a
+// connection to it.
+func startSidecar(t *testing.T, clock clockwork.Clock) amrgate.DRPCGateClient {
+	t.Helper()
+	is := is.New(t)
+	listeners := amrsidecar.Listeners{}
+	var err error
+	listeners.Gate, err = net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listeners.Metrics, err = net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	settings := amrsidecar.DefaultSettings()
+	settings.Name = "b1"
+	settings.BackendType = amrsidecar.BackendService
+	settings.BackendURL = "http://127.0.0.1:1"
+	settings.StopGrace = time.Second
+	sidecar := amrsidecar.New(settings, amrsidecar.WithClock(clock), amrsidecar.WithListeners(listeners), amrsidecar.WithLogger(slog.New(slog.DiscardHandler)))
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return sidecar.Run(ctx) })
+	conn, err := net.Dial("tcp", listeners.Gate.Addr().String())
+	is.NoErr(err)
+	client := drpcconn.New(conn)
+	t.Cleanup(func() {
+		_ = client.Close()
+		stop()
+		is.NoErr(group.Wait())
+	})
+	return amrgate.NewDRPCGateClient(client)
+}
+
+// TestStaleConfiguration declines a router that works by records that are no
+// longer in force, and no other.
+func TestStaleConfiguration(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	client := startSidecar(t, clock)
+	declined := func(revision uint64) bool {
+		stream, err := client.Dispatch(t.Context(), &amrgate.DispatchRequest{
+			Revision: revision, DeadlineMs: 1000, ServiceCall: &amrgate.ServiceCall{Method: "POST", Path: "x"}})
+		is.NoErr(err)
+		defer func() { is.NoErr(stream.Close()) }()
+		reply, err := stream.Recv()
+		is.NoErr(err)
+		return reply.GetDeclined().GetReason() == string(amrreason.StaleConfiguration)
+	}
+	is.True(!declined(5))
+	is.True(!declined(6))
+	clock.Advance(amrconfig.InForceBound - time.Millisecond)
+	is.True(!declined(5)) // A lag below the bound costs nothing.
+	clock.Advance(time.Millisecond)
+	is.True(declined(5))
+	is.True(!declined(6))
+	report, err := client.Report(t.Context(), &amrgate.ReportRequest{})
+	is.NoErr(err)
+	is.Equal(report.GetLoad().GetRevision(), uint64(6))
+}
+
+// TestSnapshot keeps the newest records that routers gave.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	client := startSidecar(t, clockwork.NewFakeClock())
+	set := func(revision uint64) amrrecord.Set {
+		record := amrrecord.Record{Name: "recife", Spec: amrrecord.Team{Weight: int(revision)}}
+		return amrrecord.Set{}.With(record).WithRevision(revision)
+	}
+	for _, revision := range []uint64{7, 9, 8} { // The last one comes late.
+		whole, err := amrconfig.Whole(set(revision))
+		is.NoErr(err)
+		_, err = client.Keep(t.Context(), &amrgate.KeepRequest{Revision: whole.Revision, Data: whole.Data})
+		is.NoErr(err)
+	}
+	held, err := client.Snapshot(t.Context(), &amrgate.SnapshotRequest{})
+	is.NoErr(err)
+	got, err := amrconfig.Delta{Revision: held.GetRevision(), Data: held.GetData()}.Apply(amrrecord.Set{})
+	is.NoErr(err)
+	is.Equal(got.Revision(), uint64(9))
+	team, _ := got.Team("recife")
+	is.Equal(team.Weight, 9)
+	none, err := client.Snapshot(t.Context(), &amrgate.SnapshotRequest{Above: 9})
+	is.NoErr(err)
+	is.Equal(len(none.GetData()), 0)
+}
