Start no non-idempotent request once a router waits for the last ones

Cause: the race detector found a request joining the group of runs while a killed router already waited for the group; such a run could outlive the router unseen. Ruled out: the test's harness; the group is the router's. Change: runs are a type that closes before it waits; a late request is refused as draining, not-run.

--- a/router/amrrouter/once.go
+++ b/router/amrrouter/once.go
@@ -58,10 +58,13 @@
 	}
 	o.result = make(chan amrledger.Action, 1)
 	ctx = context.WithoutCancel(ctx)
-	o.session.router.runs.Go(func() error {
+	started := o.session.router.runs.start(func() error {
 		o.result <- o.session.router.ledger.Run(ctx, call, o)
 		return nil
 	})
+	if !started {
+		o.result <- amrledger.Refused{Reason: amrreason.Draining, Ran: amrreason.NotRun}
+	}
 }
 
 // take turns the ledger's answer into events.
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -61,7 +61,7 @@
 	hosts       *hosts
 	peers       *peers
 	limits      *limits
-	runs        errgroup.Group // Non-idempotent requests in progress.
+	runs        runs
 
 	mu       sync.Mutex
 	draining bool
@@ -212,7 +212,7 @@
 	group.Go(func() error { return r.serveOperators(background) })
 	group.Go(func() error {
 		defer stop()
-		return errors.Join(r.serveCallers(ctx, background), r.runs.Wait())
+		return errors.Join(r.serveCallers(ctx, background), r.runs.wait())
 	})
 	r.log.Info("router-started", "incarnation", r.incarnation, "callers", r.listeners.Callers.Addr().String())
 	err := group.Wait()
