Weigh recomputing 1.5 to 3.5 times

Cause: at 75 % of the fleet's speed the tail is made while the queues of the cold start last, and recomputing lengthens them. Change: the weight of recomputing starts at 1.5 times the record's.

--- a/core/amrplace/place.go
+++ b/core/amrplace/place.go
@@ -29,8 +29,12 @@
 	// hold of what the first is.
 	secondShare = 0.5
 
-	// congestionWait is the mean wait at which recomputing weighs twice what
-	// the policy says, and maxCongestion bounds the increase.
+	// evictionWeight is the weight of recomputing where nothing waits: what is
+	// computed twice also evicts what others need.
+	evictionWeight = 1.5
+
+	// congestionWait is the mean wait that adds the policy's weight of
+	// recomputing once more, and maxCongestion bounds the increase.
 	congestionWait = 100 * time.Millisecond
 	maxCongestion  = 2.0
 
@@ -211,5 +215,5 @@
 		wait, recompute = 1, 1
 	}
 	congestion := float64(p.mean.value) / float64(congestionWait)
-	return wait, recompute * (1 + min(congestion, maxCongestion))
+	return wait, recompute * (evictionWeight + min(congestion, maxCongestion))
 }
