--- a/standin/amrreplay/replay_test.go
+++ b/standin/amrreplay/replay_test.go
@@ -17,8 +17,10 @@
 	"amaranthreach.example/standin/amrtrace"
 )
 
+const shortAnswer = 8 // Tokens.
+
 // recorded returns the requests of a recorded trace that are due in a part of
-// it, with their times counted from its start.
+// it, with their times counted from its start and short answers.
 func recorded(t *testing.T, name string, start, end time.Duration) []amrtrace.Request {
 	t.Helper()
 	f, err := os.Open(filepath.Join("..", "testdata", "traces", name+".jsonl"))
@@ -34,6 +36,7 @@
 	for _, r := range all {
 		if r.At >= start && r.At < end {
 			r.At -= start
+			r.OutputTokens = min(r.OutputTokens, shortAnswer)
 			requests = append(requests, r)
 		}
 	}
