Turn unready before a router closes its callers' interface

Ruled out: answers cut in progress; no reply had begun. Change: a stopping router answers on for stop-delay while it is unready and asks callers to close their connections; the replay's callers send to ready routers, as the platform's balancer does.

--- a/router/amrrouter/identity.go
+++ b/router/amrrouter/identity.go
@@ -20,6 +20,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		identity := &identity{id: r.newID()}
 		w.Header().Set(headerRequestID, identity.id)
+		if r.Draining() {
+			w.Header().Set("Connection", "close")
+		}
 		ctx := context.WithValue(request.Context(), identityKey{}, identity)
 		next.ServeHTTP(&statusWriter{ResponseWriter: w, identity: identity}, request.WithContext(ctx))
 	})
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -234,6 +234,13 @@
 	return r.follower.Current().Revision()
 }
 
+// Draining reports whether the router is stopping.
+func (r *Router) Draining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
 // Ready reports whether the router can serve callers.
 func (r *Router) Ready() bool {
 	r.mu.Lock()
@@ -274,10 +281,9 @@
 	if err != nil {
 		return err
 	}
-	serving, stop := context.WithCancel(ctx)
+	serving, stop := context.WithCancel(background)
 	defer stop()
-	defer context.AfterFunc(background, stop)()
-	defer context.AfterFunc(ctx, r.drain)()
+	defer context.AfterFunc(ctx, func() { r.leave(serving, stop) })()
 	service := &callersService{router: r}
 	endpoints := callers.NewEndpoints(service)
 	mux := goahttp.NewMuxer()
@@ -288,6 +294,18 @@
 	return amrserve.HTTP(serving, withTLS(r.listeners.Callers, config), r.withIdentity(mux), limits, r.settings.StopGrace)
 }
 
+// leave turns the router unready and, once balancers have had time to see it,
+// closes the callers' interface. A connection that a caller opens just before
+// the end would be reset.
+func (r *Router) leave(serving context.Context, stop context.CancelFunc) {
+	defer stop()
+	r.drain()
+	select {
+	case <-r.clock.After(r.settings.StopDelay):
+	case <-serving.Done():
+	}
+}
+
 func (r *Router) drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/amrrouter/settings.go
+++ b/router/amrrouter/settings.go
@@ -24,6 +24,7 @@
 	PeersTLS         amrsettings.TLS `yaml:"peers-tls"`            // Between routers.
 	OperatorKeys     []string        `yaml:"operator-keys-sha256"` // Hex digests of bearer keys that may write records before any team may.
 	BodyBytes        int64           `yaml:"body-bytes"`
+	StopDelay        time.Duration   `yaml:"stop-delay"` // Time between turning unready and taking no more connections.
 	StopGrace        time.Duration   `yaml:"stop-grace"` // Longest time a stop waits for requests in progress.
 }
 
@@ -31,6 +32,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		BodyBytes: 8 << 20,
+		StopDelay: 5 * time.Second,
 		StopGrace: time.Minute,
 	}
 }
@@ -98,6 +100,9 @@
 	if s.BodyBytes < 1<<10 || s.BodyBytes > 64<<20 {
 		return &amrsettings.Problem{Field: "body-bytes", What: "out of range", Remedy: "write a number from 1024 to 67108864"}
 	}
+	if s.StopDelay < 0 || s.StopDelay > time.Minute {
+		return &amrsettings.Problem{Field: "stop-delay", What: "out of range", Remedy: "write a time from 0s to 1m"}
+	}
 	if s.StopGrace <= 0 {
 		return &amrsettings.Problem{Field: "stop-grace", What: "must be above zero", Remedy: "write a time such as 1m"}
 	}
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -33,6 +33,7 @@
 	anyPort        = "127.0.0.1:0"
 	availableWait  = 10 * time.Second
 	readyPoll      = 5 * time.Millisecond
+	stopDelay      = 50 * time.Millisecond
 	outsideGrace   = 200 * time.Millisecond
 	largeBodyBytes = 64 << 20
 )
@@ -116,6 +117,7 @@
 	*Process
 	Router *amrrouter.Router
 
+	running   atomic.Pointer[amrrouter.Router]
 	settings  amrrouter.Settings
 	callers   string
 	operators string
@@ -126,6 +128,13 @@
 // being restarted.
 func (r *RouterProcess) Name() string { return r.settings.Name }
 
+// Serving reports whether a balancer would send requests to the router. It may
+// be called while the router is being restarted.
+func (r *RouterProcess) Serving() bool {
+	running := r.running.Load()
+	return running != nil && running.Ready()
+}
+
 // CallersURL returns the URL of the callers' interface.
 func (r *RouterProcess) CallersURL() string {
 	if r.settings.CallersTLS.Enabled() {
@@ -350,6 +359,7 @@
 	settings.AvailabilityZone = f.zone(i)
 	settings.PlatformURL = f.platformURL
 	settings.StopGrace = f.Config.StopGrace
+	settings.StopDelay = stopDelay
 	settings.BodyBytes = largeBodyBytes
 	settings.GateTLS = f.Config.GateTLS
 	settings.CallersTLS = f.Config.CallersTLS
@@ -389,6 +399,7 @@
 	if err != nil {
 		return err
 	}
+	r.running.Store(r.Router)
 	r.Process = start(f.ctx, r.settings.Name, []*trackedListener{callers, operators, peers}, r.Router.Run)
 	return nil
 }
--- a/standin/amrreplay/caller.go
+++ b/standin/amrreplay/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -53,8 +54,10 @@
 	ran         string
 }
 
-// caller sends requests to routers in turn, as a balancer would.
+// caller sends requests to the routers that are ready, in turn, as a balancer
+// would.
 type caller struct {
+	routers []*amrfleet.RouterProcess
 	urls    []string // Of routers, which keep them over restarts.
 	client  *http.Client
 	clock   clockwork.Clock
@@ -68,6 +71,7 @@
 		urls[i] = r.CallersURL()
 	}
 	return &caller{
+		routers: routers,
 		urls:    urls,
 		clock:   clock,
 		timeout: timeout,
@@ -150,13 +154,19 @@
 	return got.read(response.Body, body.answer, now)
 }
 
+var errNotServing = errors.New("no router is ready; wait")
+
 // post tries each router, again and again, until one takes the connection.
 func (c *caller) post(ctx context.Context, body requestBody) (response *http.Response, err error) {
 	turn := c.next.Add(1)
 	for range maxConnects {
 		for i := range c.urls {
-			url := c.urls[(turn+uint64(i))%uint64(len(c.urls))]
-			response, err = c.postTo(ctx, url, body)
+			router := (turn + uint64(i)) % uint64(len(c.urls))
+			if !c.routers[router].Serving() {
+				err = errNotServing
+				continue
+			}
+			response, err = c.postTo(ctx, c.urls[router], body)
 			if err == nil || !isDialError(err) {
 				return response, err
 			}
