Run struck requests on trial, and quarantine those that crash two engines

A sidecar that loses its engine asks whether it crashed, notes the requests that ran, declines them unless they are on trial, and tells routers on each load. A router writes the strike and its trial in one conditional write before it runs a struck request again, also when it resumes a stream; it tells its peers of the crash at once, and polls the table every two seconds.

The script of a poisonous request, sent three times to two routers: before, three of four engines lost by the first sending and the fourth by the second; after, two engines lost, then quarantined and not-run at both routers, other requests served, and served again once an operator lifts it. Found on the way and mended: a request sent to an engine that was down already was taken for its cause, so a sidecar now declines while its engine is not ready; a trial that ended well was followed by its own old strike; a second router that chose an engine which had seen no crash ran the request within the time of the poll, hence the word to peers.

Two scenarios of the streams' script change with the rule: an answer under which two engines crash now ends in an explicit error event (quarantined) instead of a third attempt, and the case of too many failed attempts kills sidecars in place of engines. While the table is out an answer begun goes on once, and a struck request that is new is refused as crash-suspect. The explain test now waits for the peers by a deadline instead of a hundred polls.

--- a/core/amrretry/policy.go
+++ b/core/amrretry/policy.go
@@ -60,7 +60,7 @@
 func Retryable(reason amrreason.Code) bool {
 	switch reason {
 	case amrreason.Overloaded, amrreason.Draining, amrreason.WrongWeights, amrreason.EngineUnavailable,
-		amrreason.EngineLost, amrreason.WrongIncarnation, amrreason.ClaimExpired, amrreason.Internal:
+		amrreason.EngineLost, amrreason.CrashSuspect, amrreason.WrongIncarnation, amrreason.ClaimExpired, amrreason.Internal:
 		return true
 	}
 	return false
--- a/core/amrsuspect/registry.go
+++ b/core/amrsuspect/registry.go
@@ -27,6 +27,10 @@
 type Registry struct {
 	rows  map[Fingerprint]seenRow // As the table showed them last.
 	heard *lru.Cache[Fingerprint, heardNote]
+
+	// cleared holds the last crash after which the request ran well: sidecars
+	// may tell of it for a while.
+	cleared *lru.Cache[Fingerprint, string]
 }
 
 // seenRow is a row and when this router first saw it as it is.
@@ -46,20 +50,37 @@
 	if err != nil {
 		panic(err) // Only for a size below one.
 	}
-	return &Registry{rows: make(map[Fingerprint]seenRow), heard: heard}
+	cleared, err := lru.New[Fingerprint, string](MaxKnown)
+	if err != nil {
+		panic(err) // Only for a size below one.
+	}
+	return &Registry{rows: make(map[Fingerprint]seenRow), heard: heard, cleared: cleared}
 }
 
 // Heard notes a crash that the table may not show yet.
 func (r *Registry) Heard(now time.Time, f Fingerprint, crash string) {
+	if r.ClearedCrash(f) == crash && crash != "" {
+		return
+	}
 	r.heard.Add(f, heardNote{crash: crash, until: now.Add(HeardFor)})
 }
 
 // Cleared notes that the request is no longer struck.
 func (r *Registry) Cleared(f Fingerprint) {
+	if note, ok := r.heard.Get(f); ok {
+		r.cleared.Add(f, note.crash)
+	}
 	r.heard.Remove(f)
 	delete(r.rows, f)
 }
 
+// ClearedCrash names the last crash after which the request ran well, or is
+// empty.
+func (r *Registry) ClearedCrash(f Fingerprint) string {
+	crash, _ := r.cleared.Get(f)
+	return crash
+}
+
 // Struck reports whether the request may run only on trial, and names a crash
 // that the table may not show yet.
 func (r *Registry) Struck(now time.Time, f Fingerprint) (crash string, struck bool) {
--- a/core/amrsuspect/store.go
+++ b/core/amrsuspect/store.go
@@ -95,7 +95,7 @@
 func (s *Store) Begin(ctx context.Context, trial Trial, crash string, abandoned func(Suspect) bool) (struck bool, err error) {
 	var row Row
 	err = s.update(ctx, trial.Fingerprint, func(found Suspect) (*Row, error) {
-		row = found.Row.withCrash(crash)
+		row = found.withCrash(crash)
 		row.Team = trial.Team
 		switch {
 		case found.Quarantined():
@@ -142,7 +142,7 @@
 // Strike notes a crash outside of a trial.
 func (s *Store) Strike(ctx context.Context, f Fingerprint, team, crash string) error {
 	return s.update(ctx, f, func(found Suspect) (*Row, error) {
-		row := found.Row.withCrash(crash)
+		row := found.withCrash(crash)
 		row.Team = team
 		return &row, nil
 	})
--- a/core/amrsuspect/suspect_test.go
+++ b/core/amrsuspect/suspect_test.go
@@ -123,8 +123,8 @@
 	now := time.Unix(0, 0)
 	w := amrsuspect.NewWatch()
 	first, second := amrsuspect.FingerprintOf("recife", "a"), amrsuspect.FingerprintOf("recife", "b")
-	w.Lost(now, first)
-	w.Lost(now.Add(time.Second), second)
+	w.Lost(now, first, "s1/1")
+	w.Lost(now.Add(time.Second), second, "s1/2")
 	tests := []struct {
 		name string
 		do   func()
@@ -137,7 +137,11 @@
 	}
 	for _, test := range tests {
 		test.do()
-		if got := w.Latest(test.at, 8); fmt.Sprint(got) != fmt.Sprint(test.want) {
+		var got []amrsuspect.Fingerprint
+		for _, strike := range w.Latest(test.at, 8) {
+			got = append(got, strike.Fingerprint)
+		}
+		if fmt.Sprint(got) != fmt.Sprint(test.want) {
 			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
 	}
--- a/core/amrsuspect/watch.go
+++ b/core/amrsuspect/watch.go
@@ -21,8 +21,15 @@
 }
 
 type struckNote struct {
-	count int
-	until time.Time
+	strike Strike
+	until  time.Time
+}
+
+// Strike is the part of a request in crashes of one backend server.
+type Strike struct {
+	Fingerprint Fingerprint
+	Count       int
+	Crash       string // Names the last crash.
 }
 
 // NewWatch returns a watch that has seen no crash.
@@ -34,9 +41,12 @@
 	return &Watch{struck: struck}
 }
 
-// Lost notes that the backend server was lost while it ran the request.
-func (w *Watch) Lost(now time.Time, f Fingerprint) {
-	w.struck.Add(f, struckNote{count: w.Strikes(now, f) + 1, until: now.Add(StruckFor)})
+// Lost notes that the backend server was lost while it ran the request. The
+// name of the crash is the same for all requests that it hit.
+func (w *Watch) Lost(now time.Time, f Fingerprint, crash string) {
+	before, _ := w.Struck(now, f)
+	strike := Strike{Fingerprint: f, Count: before.Count + 1, Crash: crash}
+	w.struck.Add(f, struckNote{strike: strike, until: now.Add(StruckFor)})
 }
 
 // Finished notes that a run of the request ended well.
@@ -44,22 +54,22 @@
 	w.struck.Remove(f)
 }
 
-// Strikes returns the number of strikes that the request has here.
-func (w *Watch) Strikes(now time.Time, f Fingerprint) int {
+// Struck returns the strike of the request, if it has one here.
+func (w *Watch) Struck(now time.Time, f Fingerprint) (Strike, bool) {
 	note, ok := w.struck.Peek(f)
 	if !ok || now.After(note.until) {
-		return 0
+		return Strike{}, false
 	}
-	return note.count
+	return note.strike, true
 }
 
-// Latest returns at most n fingerprints, those struck last first.
-func (w *Watch) Latest(now time.Time, n int) []Fingerprint {
-	var latest []Fingerprint
+// Latest returns at most n strikes, the latest first.
+func (w *Watch) Latest(now time.Time, n int) []Strike {
+	var latest []Strike
 	keys := w.struck.Keys()
 	for i := len(keys) - 1; i >= 0 && len(latest) < n; i-- {
-		if w.Strikes(now, keys[i]) > 0 {
-			latest = append(latest, keys[i])
+		if strike, ok := w.Struck(now, keys[i]); ok {
+			latest = append(latest, strike)
 		}
 	}
 	return latest
--- a/router/amrrouter/once.go
+++ b/router/amrrouter/once.go
@@ -60,6 +60,7 @@
 	ctx = context.WithoutCancel(ctx)
 	started := o.session.router.runs.start(func() error {
 		o.result <- o.session.router.ledger.Run(ctx, call, o)
+		o.session.suspicion.over(ctx)
 		return nil
 	})
 	if !started {
@@ -116,6 +117,9 @@
 // incarnations.
 func (o *once) Place(ctx context.Context) amrledger.Event {
 	s := o.session
+	if refused := s.suspicion.admit(ctx); refused != nil {
+		return amrledger.NotPlaced{Reason: refused.reason, RetryAfter: refused.retryAfter}
+	}
 	for s.tried < len(s.candidates) && s.tried < s.maxAttempts() {
 		server := s.candidates[s.tried]
 		s.tried++
@@ -222,6 +226,7 @@
 		case *amrgate.DispatchReply_Failed:
 			reason := amrreason.Code(event.Failed.GetReason())
 			s.note(server, reason)
+			s.suspicion.failed(context.Background(), event.Failed, reply.GetLoad())
 			if amrreason.Ran(event.Failed.GetRan()) == amrreason.NotRun {
 				return amrledger.NotRun{Reason: reason, Elsewhere: amrretry.Retryable(reason)}
 			}
@@ -235,6 +240,7 @@
 				return amrledger.ConnectionLost{} // The sidecar has the whole answer.
 			}
 			setEnd(&answer, event.End)
+			s.suspicion.finished(context.Background())
 			return amrledger.Ended{Answer: &answer}
 		}
 	}
--- a/router/amrrouter/peers.go
+++ b/router/amrrouter/peers.go
@@ -83,6 +83,12 @@
 	}, nil
 }
 
+// Suspect notes a request under which a backend server crashed.
+func (s *peerServer) Suspect(_ context.Context, request *amrpeer.SuspectRequest) (*amrpeer.SuspectReply, error) {
+	s.router.suspects.heard(request.GetFingerprint(), request.GetCrash())
+	return &amrpeer.SuspectReply{}, nil
+}
+
 // servePeers serves other routers until ctx is done. Without an address for
 // them it does nothing.
 func (r *Router) servePeers(ctx context.Context) error {
@@ -146,6 +152,14 @@
 	return amrconfig.Delta{Revision: reply.GetRevision(), Age: math.MaxInt64, Data: reply.GetData()}, nil
 }
 
+// suspect tells the router at the address of a request under which a backend
+// server crashed.
+func (p *peers) suspect(ctx context.Context, address string, request *amrpeer.SuspectRequest) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	_, _ = p.client(ctx, address).Suspect(ctx, request) // The table tells it later.
+}
+
 // account tells the accountant at the address what the router used.
 func (p *peers) account(ctx context.Context, address, router string, usages []amrlimit.Usage) ([]amrlimit.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/router/amrrouter/request.go
+++ b/router/amrrouter/request.go
@@ -16,6 +16,7 @@
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/core/amrsuspect"
 )
 
 // defaultDeadline bounds requests whose caller and policy set no bound.
@@ -41,6 +42,7 @@
 	keys           []amrprompt.Key
 	call           *amrgate.ServiceCall
 	release        func(tokens int) // Gives back what the request took of its team's limits.
+	fingerprint    amrsuspect.Fingerprint
 }
 
 // call holds what a caller sent, whatever the route.
@@ -121,6 +123,7 @@
 	if q.deploymentSpec.Type != wanted {
 		return refuse(amrreason.BadRequest, fmt.Sprintf("deployment %s is of type %s", q.deployment, q.deploymentSpec.Type))
 	}
+	q.fingerprint = amrsuspect.FingerprintOf(q.team, q.digest())
 	if !q.idempotent && q.idempotencyKey == "" {
 		return refuse(amrreason.KeyRequired, "Idempotency-Key")
 	}
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -28,6 +28,7 @@
 	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrserve"
+	"amaranthreach.example/core/amrsuspect"
 	"amaranthreach.example/router/gen/callers"
 	callersserver "amaranthreach.example/router/gen/http/callers/server"
 	operatorsserver "amaranthreach.example/router/gen/http/operators/server"
@@ -57,6 +58,7 @@
 	decisions   *decisions
 	sidecars    *sidecars
 	retries     *retries
+	suspects    *suspects
 	ledger      *amrledger.Ledger
 	hosts       *hosts
 	peers       *peers
@@ -159,6 +161,7 @@
 	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.all))
 	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
 	r.registerState()
+	r.suspects = newSuspects(r.clock, settings.Name, amrsuspect.NewStore(r.platform))
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
 	r.membership = newMembership(r.clock, r.log, r.gates, r.hosts)
 	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.membership.view, r.placing)
@@ -202,6 +205,7 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return ignoreCanceled(r.follower.Run(background)) })
 	group.Go(func() error { return r.ledger.Maintain(background) })
+	group.Go(func() error { return r.suspects.run(background) })
 	group.Go(func() error { return r.decisions.recorder.Run(background) })
 	group.Go(func() error { return r.limits.run(background) })
 	group.Go(func() error { return r.keepSnapshots(background) })
@@ -254,6 +258,7 @@
 		r.membership.observe(name, load)
 		r.sidecars.observe(name, load, r.clock.Now())
 	}
+	r.suspects.observe(load)
 	r.follower.Heard(load.GetRevision())
 }
 
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -37,6 +37,7 @@
 	tried      int
 	rebinds    int   // Attempts after which the version of the weights was chosen anew.
 	once       *once // Nil for idempotent work.
+	suspicion  suspicion
 
 	relay        *amrstream.Relay
 	arrivals     chan arrival
@@ -87,6 +88,7 @@
 		live:       make(map[uint32]*dispatch),
 		expiry:     r.clock.NewTimer(q.deadline.Sub(r.clock.Now())),
 	}
+	s.suspicion.session = s
 	if !q.idempotent {
 		s.once = &once{session: s}
 	}
@@ -139,6 +141,9 @@
 		s.hedge.Stop()
 	}
 	_ = s.pumps.Wait() // Pumps return no error.
+	if s.once == nil {
+		s.suspicion.over(context.Background())
+	}
 }
 
 // give ends the session with a refusal.
@@ -168,6 +173,11 @@
 		s.step(amrstream.NotResumed{Reason: amrreason.DeadlineExceeded, Ran: amrreason.NotRun})
 		return
 	}
+	if refused := s.suspicion.admit(ctx); refused != nil {
+		s.last = refused
+		s.step(amrstream.NotResumed{Reason: refused.reason, Ran: refused.ran})
+		return
+	}
 	server, ok := s.choice.next()
 	if !ok && s.last != nil && s.last.ran == amrreason.NotRun && s.rebind() {
 		server, ok = s.choice.next()
@@ -265,7 +275,7 @@
 // startHedge makes a second attempt beside a first one that has given nothing
 // yet, within the budget of hedges.
 func (s *session) startHedge(ctx context.Context) {
-	if s.relay.Relayed() > 0 || len(s.live) != 1 || s.tried >= s.maxAttempts() || !s.choice.more() {
+	if s.relay.Relayed() > 0 || len(s.live) != 1 || s.tried >= s.maxAttempts() || !s.choice.more() || s.suspicion.isolated {
 		return
 	}
 	if s.router.retries.spendHedge(s.router.clock.Now()) {
@@ -305,6 +315,7 @@
 		if event.Failed.GetEngineLost() || reason == amrreason.EngineUnavailable {
 			s.router.membership.failed(d.server.name, false)
 		}
+		s.suspicion.failed(context.Background(), event.Failed, a.reply.GetLoad())
 		notRun := ran == amrreason.NotRun // It cost no work, as if it had been declined.
 		s.fail(a.attempt, d, refuse(reason, d.server.name).withRan(ran), notRun)
 	}
@@ -387,6 +398,7 @@
 // complete ends the answer.
 func (s *session) complete(end amrstream.End) {
 	s.router.retries.success()
+	s.suspicion.finished(context.Background())
 	whole := &amrgate.End{
 		Chunks:           end.Chunks,
 		Digest:           end.Digest,
@@ -431,6 +443,9 @@
 		ResumeText:     s.resumeText,
 		ResumeTokens:   uint32(s.resumeTokens),
 		ServiceCall:    q.call,
+		Fingerprint:    q.fingerprint[:],
+		Isolated:       s.suspicion.isolated,
+		ClearedCrash:   s.router.suspects.clearedCrash(q.fingerprint),
 	}
 }
 
--- a/sidecar/amrsidecar/backend.go
+++ b/sidecar/amrsidecar/backend.go
@@ -21,6 +21,10 @@
 	// state returns what is known of the backend server.
 	state() backendState
 
+	// crashed reports whether the backend server is down, or another process
+	// than the incarnation.
+	crashed(ctx context.Context, incarnation string) bool
+
 	// watch follows the state until ctx is done.
 	watch(ctx context.Context) error
 }
--- a/sidecar/amrsidecar/engine.go
+++ b/sidecar/amrsidecar/engine.go
@@ -203,6 +203,11 @@
 	return e.known
 }
 
+func (e *engine) crashed(ctx context.Context, incarnation string) bool {
+	status, err := e.fetchStatus(ctx)
+	return err != nil || status.Incarnation != incarnation
+}
+
 // watch follows the engine's status and cache events until ctx is done.
 func (e *engine) watch(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -37,6 +37,7 @@
 	admission *admission
 	metrics   *metrics
 	claims    *claims
+	suspects  *suspects
 
 	mu       sync.Mutex
 	draining bool
@@ -55,6 +56,7 @@
 		reported:  make(map[string]time.Time),
 		metrics:   newMetrics(s.registry),
 		claims:    newClaims(s.incarnation, s.clock),
+		suspects:  newSuspects(s.clock),
 		idleCh:    make(chan struct{}),
 	}
 	switch s.settings.BackendType {
@@ -79,6 +81,13 @@
 	}
 	defer g.leave()
 	ctx := stream.Context()
+	if !g.backend.state().ready {
+		return attempt.decline(amrreason.EngineUnavailable, &ticket{retryAfter: statusInterval})
+	}
+	if !g.suspects.enter(ctx, request) {
+		return attempt.decline(amrreason.CrashSuspect, &ticket{})
+	}
+	defer g.suspects.leave(request)
 	if claim := request.GetClaim(); claim != nil {
 		ok, reason, ran := g.claims.begin(claim)
 		switch {
@@ -118,6 +127,7 @@
 	load := g.admission.load(router, stored)
 	load.SidecarIncarnation = g.sidecar.incarnation
 	load.ClockMs = g.claims.now().Milliseconds()
+	load.Strikes = g.suspects.strikes(nil)
 	load.EngineIncarnation = state.incarnation
 	load.WeightsVersion = state.weightsVersion
 	load.Ready = state.ready && !g.orders.isLoading()
@@ -215,6 +225,7 @@
 	digest   *xxh3.Hasher
 	sequence uint64
 	claim    *claimRun // Nil for idempotent work.
+	crashed  bool      // The backend server crashed under it.
 }
 
 func newAttempt(g *gate, request *amrgate.DispatchRequest, stream amrgate.DRPCGate_DispatchStream) *attempt {
@@ -243,6 +254,7 @@
 	if !a.gate.holds(a.request.GetWeightsVersion()) { // The weights changed while it waited.
 		return a.fail(failure{reason: amrreason.WrongWeights, ran: amrreason.NotRun})
 	}
+	incarnation := a.gate.backend.state().incarnation
 	end, err := a.gate.backend.run(ctx, a.request, func(p piece) error {
 		a.gate.admission.progressed(ticket)
 		return a.chunk(p)
@@ -253,12 +265,27 @@
 		if failed.ran == amrreason.NotRun && !a.gate.holds(a.request.GetWeightsVersion()) {
 			failed.reason = amrreason.WrongWeights // The weights changed on its way to the engine.
 		}
+		a.findCrash(failed, incarnation)
 		return a.fail(failed)
 	}
+	a.gate.suspects.finished(a.request)
 	a.gate.admission.finished(ticket, end)
 	return a.end(end)
 }
 
+// findCrash finds out whether the backend server crashed under the attempt.
+func (a *attempt) findCrash(f failure, incarnation string) {
+	if f.reason != amrreason.EngineLost {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.stream.Context()), probeTimeout)
+	defer cancel()
+	if a.gate.backend.crashed(ctx, incarnation) {
+		a.crashed = true
+		a.gate.suspects.lost(a.request, a.gate.sidecar.settings.Name+"/"+incarnation)
+	}
+}
+
 func (a *attempt) chunk(p piece) error {
 	if a.claim != nil {
 		a.claim.add(p)
@@ -326,7 +353,7 @@
 			Attempt:    a.request.GetAttempt(),
 			Reason:     string(f.reason),
 			Ran:        string(f.ran),
-			EngineLost: f.reason == amrreason.EngineLost,
+			EngineLost: a.crashed,
 		}},
 		Load: a.load(),
 	})
@@ -363,7 +390,9 @@
 
 // load returns the load as the dispatching router should hear it.
 func (a *attempt) load() *amrgate.Load {
-	return a.gate.load(a.request.GetRouter(), int(min(a.request.GetMaxStored(), maxStored)))
+	load := a.gate.load(a.request.GetRouter(), int(min(a.request.GetMaxStored(), maxStored)))
+	load.Strikes = a.gate.suspects.strikes(a.request)
+	return load
 }
 
 func (a *attempt) send(reply *amrgate.DispatchReply) error {
--- a/sidecar/amrsidecar/service.go
+++ b/sidecar/amrsidecar/service.go
@@ -103,6 +103,20 @@
 	return backendState{ready: true, batchLimit: serviceBatchLimit}
 }
 
+// crashed reports whether the service takes no connection. A service that cut
+// one connection and takes the next has not crashed.
+func (s *service) crashed(ctx context.Context, _ string) bool {
+	head, err := http.NewRequestWithContext(ctx, http.MethodHead, s.url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := s.once.Do(head)
+	if err != nil {
+		return isDialError(err)
+	}
+	return response.Body.Close() != nil
+}
+
 func (s *service) watch(ctx context.Context) error {
 	<-ctx.Done()
 	s.client.CloseIdleConnections()
--- /dev/null
+++ b/sidecar/amrsidecar/suspects.go
@@ -0,0 +1,107 @@
+package amrsidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/semaphore"
+
+	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrsuspect"
+)
+
+const (
+	reportedStrikes = 8 // Strikes on each load, the latest first.
+	probeTimeout    = time.Second
+
+	// trialWait is how long a request on trial waits for another one.
+	trialWait = 5 * time.Second
+)
+
+// suspects notes which requests were running when the backend server crashed,
+// and lets those on trial run one at a time.
+type suspects struct {
+	clock  clockwork.Clock
+	trials *semaphore.Weighted
+
+	mu    sync.Mutex
+	watch *amrsuspect.Watch
+}
+
+func newSuspects(clock clockwork.Clock) *suspects {
+	return &suspects{clock: clock, trials: semaphore.NewWeighted(1), watch: amrsuspect.NewWatch()}
+}
+
+// enter admits a request, and reports false for one that is struck and not on
+// trial, or that waited in vain for its trial.
+func (s *suspects) enter(ctx context.Context, request *amrgate.DispatchRequest) bool {
+	if request.GetIsolated() {
+		ctx, cancel := context.WithTimeout(ctx, trialWait)
+		defer cancel()
+		return s.trials.Acquire(ctx, 1) == nil
+	}
+	f, ok := amrsuspect.FromBytes(request.GetFingerprint())
+	if !ok {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	strike, struck := s.watch.Struck(s.clock.Now(), f)
+	if struck && strike.Crash == request.GetClearedCrash() {
+		s.watch.Finished(f)
+		return true
+	}
+	return !struck
+}
+
+func (s *suspects) leave(request *amrgate.DispatchRequest) {
+	if request.GetIsolated() {
+		s.trials.Release(1)
+	}
+}
+
+// lost notes that the backend server crashed under the request.
+func (s *suspects) lost(request *amrgate.DispatchRequest, crash string) {
+	f, ok := amrsuspect.FromBytes(request.GetFingerprint())
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Lost(s.clock.Now(), f, crash)
+}
+
+// finished notes that the request ran well.
+func (s *suspects) finished(request *amrgate.DispatchRequest) {
+	f, ok := amrsuspect.FromBytes(request.GetFingerprint())
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Finished(f)
+}
+
+// strikes returns the latest strikes and that of the request, if any.
+func (s *suspects) strikes(request *amrgate.DispatchRequest) []*amrgate.Strike {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	latest := s.watch.Latest(now, reportedStrikes)
+	if f, ok := amrsuspect.FromBytes(request.GetFingerprint()); ok {
+		if strike, struck := s.watch.Struck(now, f); struck {
+			latest = append(latest, strike)
+		}
+	}
+	strikes := make([]*amrgate.Strike, 0, len(latest))
+	for _, strike := range latest {
+		strikes = append(strikes, &amrgate.Strike{
+			Fingerprint: strike.Fingerprint[:],
+			Count:       uint32(strike.Count),
+			Crash:       strike.Crash,
+		})
+	}
+	return strikes
+}
--- a/standin/amrfleet/explain_test.go
+++ b/standin/amrfleet/explain_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"amaranthreach.example/core/amrrecord"
@@ -177,7 +178,8 @@
 			Ready bool   `json:"ready"`
 		} `json:"routers"`
 	}
-	for range 100 {
+	clock := clockwork.NewRealClock()
+	for deadline := clock.Now().Add(10 * time.Second); clock.Now().Before(deadline); clock.Sleep(5 * time.Millisecond) {
 		operate(t, fleet, "/v1/status", &status)
 		if len(status.Routers) == len(fleet.Routers) {
 			return
--- a/standin/amrfleet/promise_test.go
+++ b/standin/amrfleet/promise_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,10 +13,23 @@
 	"github.com/matryer/is"
 
 	"amaranthreach.example/core/amrmemory"
+	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/core/amrsuspect"
 	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrfleet"
 )
 
+// operatorRecord lets the test wait until the second router knows the first.
+const operatorRecord = `
+---
+kind: team
+schema-version: 1
+name: operators
+spec:
+  operator: true
+  key-sha256: [O-DIGEST]
+`
+
 // decodeStep gives faults time to happen in the middle of an answer.
 const decodeStep = 400 * time.Millisecond
 
@@ -34,13 +49,19 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "records":
-				return apply(t, fleet, d.Input)
+				result := apply(t, fleet, d.Input+strings.Replace(operatorRecord, "O-DIGEST", amrrecord.KeyDigest("o-key"), 1))
+				awaitPeers(t, fleet)
+				return result
 			case "post":
 				return post(t, fleet, d)
 			case "stream":
 				return stream(t, fleet, d)
 			case "runs":
 				return runs(fleet)
+			case "crashes":
+				return fmt.Sprint(outcomes(fleet)[amrengine.OutcomeCrashed])
+			case "lift":
+				return lift(t, fleet)
 			case "fault":
 				fault(t, fleet, d)
 			default:
@@ -67,6 +88,12 @@
 	case "service-lose":
 		d.ScanArgs(t, name, &n)
 		server(t, fleet, d).Service.LoseAnswers(n)
+	case "poison":
+		for _, s := range fleet.Servers {
+			if s.Engine != nil {
+				s.Engine.SetPoison(d.CmdArgs[0].Vals[0])
+			}
+		}
 	case "heal-engines":
 		for _, s := range fleet.Servers {
 			if s.Engine != nil {
@@ -84,6 +111,19 @@
 	}
 }
 
+// lift lifts every quarantine and waits until the routers know.
+func lift(t *testing.T, fleet *amrfleet.Fleet) string {
+	t.Helper()
+	is := is.New(t)
+	store := amrsuspect.NewStore(fleet.Platform)
+	suspects, err := store.List(t.Context())
+	is.NoErr(err)
+	for _, s := range suspects {
+		is.NoErr(store.Lift(t.Context(), s.Fingerprint))
+	}
+	return fmt.Sprintf("lifted %d", len(suspects))
+}
+
 // awaitReady waits until every sidecar serves a backend server that is up.
 func awaitReady(t *testing.T, fleet *amrfleet.Fleet) {
 	t.Helper()
--- a/standin/amrfleet/stream_test.go
+++ b/standin/amrfleet/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -55,6 +56,11 @@
 	defer response.Body.Close()
 	var b strings.Builder
 	var text string
+	if response.StatusCode != http.StatusOK {
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		return render(response, body)
+	}
 	events := 0
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
