--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -382,8 +382,10 @@
 	if err != nil {
 		return err
 	}
-	r.callers, r.operators, r.peers = callers.Addr().String(), operators.Addr().String(), peers.Addr().String()
-	r.settings.CallersAddress, r.settings.OperatorsAddress, r.settings.PeersAddress = r.callers, r.operators, r.peers
+	if r.callers == anyPort { // Callers may read the addresses while the router restarts.
+		r.callers, r.operators, r.peers = callers.Addr().String(), operators.Addr().String(), peers.Addr().String()
+		r.settings.CallersAddress, r.settings.OperatorsAddress, r.settings.PeersAddress = r.callers, r.operators, r.peers
+	}
 	f.Platform.SetHost(amrplatform.Host{
 		Name:             r.settings.Name,
 		Address:          r.peers,
