Let servers that are away cost no attempt, and hear at once that one is back

A rollout test saw a caller refused as engine-unavailable under the race detector: a sidecar whose engine had crashed and was back declined for up to its status interval, and such declines used up the attempts. The probe after a lost run now renews what is known of the engine, and up to four declines for a server that is away (engine-unavailable, draining, wrong-incarnation) do not count.

--- a/core/amrretry/policy.go
+++ b/core/amrretry/policy.go
@@ -6,6 +6,10 @@
 	"amaranthreach.example/core/amrreason"
 )
 
+// MaxAbsent is the number of declines by backend servers that are away, such as
+// draining ones, which do not count against the attempts of a request.
+const MaxAbsent = 4
+
 // Policy bounds the attempts of one request.
 type Policy struct {
 	MaxAttempts int
@@ -17,6 +21,7 @@
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Attempts int // Made so far, this one included.
+	Absent   int // Of them, those declined because the backend server was away.
 	Reason   amrreason.Code
 	Ran      amrreason.Ran
 	Declined bool // The sidecar did not take it; it cost no work.
@@ -46,7 +51,7 @@
 		return giveUp
 	case !Retryable(o.Reason):
 		return giveUp
-	case o.Attempts >= p.MaxAttempts:
+	case o.Attempts-min(o.Absent, MaxAbsent) >= p.MaxAttempts:
 		return giveUp
 	case p.Deadline.Sub(now) < p.MinTimeLeft:
 		return GiveUp{Reason: amrreason.DeadlineExceeded, Ran: o.Ran}
@@ -56,6 +61,16 @@
 	return Retry{}
 }
 
+// Absent reports whether the reason speaks of a backend server that is away,
+// whatever the request.
+func Absent(reason amrreason.Code) bool {
+	switch reason {
+	case amrreason.EngineUnavailable, amrreason.Draining, amrreason.WrongIncarnation:
+		return true
+	}
+	return false
+}
+
 // Retryable reports whether another backend server may do better.
 func Retryable(reason amrreason.Code) bool {
 	switch reason {
--- a/core/amrretry/policy_test.go
+++ b/core/amrretry/policy_test.go
@@ -27,6 +27,8 @@
 		{"no budget", idempotent, now, amrretry.Outcome{Attempts: 1, Reason: amrreason.EngineLost, Ran: amrreason.Unknown}, 0, amrretry.GiveUp{Reason: amrreason.EngineLost, Ran: amrreason.Unknown}},
 		{"a decline is free", idempotent, now, amrretry.Outcome{Attempts: 1, Reason: amrreason.Overloaded, Ran: amrreason.NotRun, Declined: true}, 0, amrretry.Retry{}},
 		{"no attempt left", idempotent, now, amrretry.Outcome{Attempts: 3, Reason: amrreason.Overloaded, Ran: amrreason.NotRun, Declined: true}, 1, amrretry.GiveUp{Reason: amrreason.Overloaded, Ran: amrreason.NotRun}},
+		{"absent servers do not count", idempotent, now, amrretry.Outcome{Attempts: 4, Absent: 2, Reason: amrreason.Draining, Ran: amrreason.NotRun, Declined: true}, 1, amrretry.Retry{}},
+		{"but not without end", idempotent, now, amrretry.Outcome{Attempts: 7, Absent: 7, Reason: amrreason.Draining, Ran: amrreason.NotRun, Declined: true}, 1, amrretry.GiveUp{Reason: amrreason.Draining, Ran: amrreason.NotRun}},
 		{"no time left", idempotent, now.Add(950 * time.Millisecond), amrretry.Outcome{Attempts: 1, Reason: amrreason.EngineLost, Ran: amrreason.Unknown}, 1, amrretry.GiveUp{Reason: amrreason.DeadlineExceeded, Ran: amrreason.Unknown}},
 		{"no use", idempotent, now, amrretry.Outcome{Attempts: 1, Reason: amrreason.Quarantined, Ran: amrreason.NotRun, Declined: true}, 1, amrretry.GiveUp{Reason: amrreason.Quarantined, Ran: amrreason.NotRun}},
 		{"may have run", once, now, amrretry.Outcome{Attempts: 1, Reason: amrreason.EngineLost, Ran: amrreason.Unknown}, 1, amrretry.GiveUp{Reason: amrreason.EngineLost, Ran: amrreason.Unknown}},
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -50,6 +50,7 @@
 	queue        []answerEvent
 	last         *refusal // What the last attempt failed by.
 	declined     bool     // The last attempt was declined.
+	absent       int      // Attempts declined because the backend server was away.
 	refused      *refusal
 	winner       string // Backend server whose attempt gave the end.
 }
@@ -338,6 +339,9 @@
 func (s *session) fail(attempt uint32, d *dispatch, why *refusal, declined bool) {
 	s.note(d.server, why.reason)
 	s.last, s.declined = why, declined
+	if declined && amrretry.Absent(why.reason) {
+		s.absent++
+	}
 	s.end(attempt)
 	if why.reason == amrreason.WrongWeights && len(s.live) == 0 {
 		s.rebind()
--- a/sidecar/amrsidecar/engine.go
+++ b/sidecar/amrsidecar/engine.go
@@ -204,8 +204,9 @@
 }
 
 func (e *engine) crashed(ctx context.Context, incarnation string) bool {
-	status, err := e.fetchStatus(ctx)
-	return err != nil || status.Incarnation != incarnation
+	e.poll(ctx)
+	known := e.state()
+	return !known.ready || known.incarnation != incarnation
 }
 
 // watch follows the engine's status and cache events until ctx is done.
