Tell a router only the strike of its own request

Eight strikes on each load cost about 500 bytes a reply for ten minutes after a crash, computed from their size, more than the 3 KB/s that a router may spend. A reply now carries the strike of its request alone; peers and the table tell of the others.

--- a/core/amrsuspect/watch.go
+++ b/core/amrsuspect/watch.go
@@ -62,15 +62,3 @@
 	}
 	return note.strike, true
 }
-
-// Latest returns at most n strikes, the latest first.
-func (w *Watch) Latest(now time.Time, n int) []Strike {
-	var latest []Strike
-	keys := w.struck.Keys()
-	for i := len(keys) - 1; i >= 0 && len(latest) < n; i-- {
-		if strike, ok := w.Struck(now, keys[i]); ok {
-			latest = append(latest, strike)
-		}
-	}
-	return latest
-}
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -127,7 +127,6 @@
 	load := g.admission.load(router, stored)
 	load.SidecarIncarnation = g.sidecar.incarnation
 	load.ClockMs = g.claims.now().Milliseconds()
-	load.Strikes = g.suspects.strikes(nil)
 	load.EngineIncarnation = state.incarnation
 	load.WeightsVersion = state.weightsVersion
 	load.Ready = state.ready && !g.orders.isLoading()
--- a/sidecar/amrsidecar/suspects.go
+++ b/sidecar/amrsidecar/suspects.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	reportedStrikes = 8 // Strikes on each load, the latest first.
-	probeTimeout    = time.Second
+	probeTimeout = time.Second
 
 	// trialWait is how long a request on trial waits for another one.
 	trialWait = 5 * time.Second
@@ -84,24 +83,18 @@
 	s.watch.Finished(f)
 }
 
-// strikes returns the latest strikes and that of the request, if any.
+// strikes returns the strike of the request, if it has one. Routers hear of
+// others from their peers and the table, which costs no byte on each load.
 func (s *suspects) strikes(request *amrgate.DispatchRequest) []*amrgate.Strike {
+	f, ok := amrsuspect.FromBytes(request.GetFingerprint())
+	if !ok {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	latest := s.watch.Latest(now, reportedStrikes)
-	if f, ok := amrsuspect.FromBytes(request.GetFingerprint()); ok {
-		if strike, struck := s.watch.Struck(now, f); struck {
-			latest = append(latest, strike)
-		}
-	}
-	strikes := make([]*amrgate.Strike, 0, len(latest))
-	for _, strike := range latest {
-		strikes = append(strikes, &amrgate.Strike{
-			Fingerprint: strike.Fingerprint[:],
-			Count:       uint32(strike.Count),
-			Crash:       strike.Crash,
-		})
+	strike, struck := s.watch.Struck(s.clock.Now(), f)
+	if !struck {
+		return nil
 	}
-	return strikes
+	return []*amrgate.Strike{{Fingerprint: f[:], Count: uint32(strike.Count), Crash: strike.Crash}}
 }
