--- a/router/amrrouter/suspects.go
+++ b/router/amrrouter/suspects.go
@@ -179,6 +179,13 @@
 	}
 }
 
+// background runs f beside the request, or at once while the router stops.
+func (r *Router) background(f func() error) {
+	if !r.runs.start(f) {
+		_ = f() // The functions that come here report no error.
+	}
+}
+
 // crashed ends a trial during which the backend server was lost. It is written
 // before the caller hears of it, unless the table is out.
 func (r *Router) crashed(ctx context.Context, trial amrsuspect.Trial, crash string) {
@@ -188,7 +195,7 @@
 	if write(limited) == nil {
 		return
 	}
-	r.runs.Go(func() error {
+	r.background(func() error {
 		r.suspects.end(ctx, write)
 		return nil
 	})
@@ -197,7 +204,7 @@
 // tellPeers tells the other routers of a crash under the request, so that they
 // need not wait for their next poll of the table.
 func (r *Router) tellPeers(f amrsuspect.Fingerprint, crash string) {
-	r.runs.Go(func() error {
+	r.background(func() error {
 		var group errgroup.Group
 		group.SetLimit(peersAtOnce)
 		for _, peer := range r.hosts.routers() {
@@ -274,7 +281,7 @@
 	p.trial = nil
 	r := p.session.router
 	r.suspects.cleared(trial.Fingerprint)
-	r.runs.Go(func() error {
+	r.background(func() error {
 		r.suspects.end(ctx, func(ctx context.Context) error { return r.suspects.store.Cleared(ctx, *trial) })
 		return nil
 	})
@@ -291,7 +298,7 @@
 		return
 	}
 	request := p.session.request
-	r.runs.Go(func() error {
+	r.background(func() error {
 		r.suspects.end(ctx, func(ctx context.Context) error {
 			if trial != nil {
 				return r.suspects.store.Released(ctx, *trial)
