--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	goahttp "goa.design/goa/v3/http"
 	"golang.org/x/sync/errgroup"
@@ -141,6 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.metrics = newMetrics(r.registry)
 	r.gates = newGates(config)
 	r.sidecars = newSidecars()
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmanager"
@@ -87,6 +88,7 @@
 		option(s)
 	}
 	s.log = s.log.With("sidecar", settings.Name)
+	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.gate = newGate(s)
 	return s
 }
