Choose no version that only excluded servers hold

Under the race detector a request was refused as wrong-weights: it picked, again and again, the version of a server that had already declined it. The choice now leaves such servers out. The first read of the host list comes within half a second of the start, not one.

--- a/router/amrrouter/membership.go
+++ b/router/amrrouter/membership.go
@@ -25,7 +25,7 @@
 	// routers together read it about once a second at any size.
 	hostListPerHost  = 40 * time.Millisecond
 	hostListInterval = time.Second // Shortest time between two reads.
-	hostListSpread   = time.Second
+	hostListSpread   = 500 * time.Millisecond
 )
 
 // membership carries the events and actions of amrmember.Members.
--- a/router/amrrouter/request.go
+++ b/router/amrrouter/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"path"
 	"strconv"
 	"strings"
@@ -101,14 +102,25 @@
 	if refused := q.check(); refused != nil {
 		return nil, refused
 	}
-	q.bind(r.membership.view(set))
+	q.bind(r.membership.view(set), nil)
 	return q, nil
 }
 
-// bind chooses the version of the weights and derives the block keys.
-func (q *request) bind(view amrmember.View) {
+// bind chooses the version of the weights, one that not only the excluded
+// backend servers hold, and derives the block keys.
+func (q *request) bind(view amrmember.View, excluded []string) {
+	held := maps.Clone(view.Weights(q.deployment))
+	for _, name := range excluded {
+		m, ok := view.Member(q.deployment, name)
+		if !ok || m.Exclusion != amrmember.Eligible {
+			continue
+		}
+		if held[m.WeightsVersion]--; held[m.WeightsVersion] <= 0 {
+			delete(held, m.WeightsVersion)
+		}
+	}
 	seed := xxh3.HashString(q.team + "\x00" + q.prompt[:min(len(q.prompt), amrprompt.BytesPerBlock)])
-	q.weights = amrorder.PickVersion(q.deploymentSpec.Versions, view.Weights(q.deployment), seed)
+	q.weights = amrorder.PickVersion(q.deploymentSpec.Versions, held, seed)
 	scope := amrprompt.Scope{Team: q.team, Deployment: q.deployment, WeightsVersion: q.weights}
 	q.keys = amrprompt.Keys(scope, q.prompt)
 }
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	s.rebinds++
-	s.request.bind(s.router.membership.view(s.request.set))
+	s.request.bind(s.router.membership.view(s.request.set), s.choice.excluded)
 	return true
 }
 
