--- a/amrctl/amrcommand/client.go
+++ b/amrctl/amrcommand/client.go
@@ -44,7 +44,7 @@
 	}
 	c := client.NewClient(address.Scheme, address.Host, &http.Client{}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	s := &session{
-		Client: operators.NewClient(c.Apply(), c.Rollback(), c.Drain(), c.Records(), c.History(), c.Verify(), c.Explain(), c.WhyNot(), c.Status()),
+		Client: operators.NewClient(c.Apply(), c.Rollback(), c.Drain(), c.Suspects(), c.Lift(), c.Records(), c.History(), c.Verify(), c.Explain(), c.WhyNot(), c.Status()),
 		key:    key,
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
--- a/amrctl/amrcommand/command_test.go
+++ b/amrctl/amrcommand/command_test.go
@@ -17,6 +17,7 @@
 	"amaranthreach.example/amrctl/amrcommand"
 	"amaranthreach.example/core/amrmemory"
 	"amaranthreach.example/core/amrplatform"
+	"amaranthreach.example/core/amrsuspect"
 	"amaranthreach.example/router/amrrouter"
 )
 
@@ -25,7 +26,8 @@
 // TestScripts runs each script of testdata against a router of its own. The
 // commands beside those of testscript are: "amrctl CODE ARGS..." runs the
 // command line and requires the exit code, "faults LOST" makes the table lose
-// the answers of coming writes, "tamper REVISION" edits an audit entry.
+// the answers of coming writes, "tamper REVISION" edits an audit entry, "strike
+// TEAM TEXT CRASHES..." notes that backend servers crashed under a request.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata",
@@ -34,6 +36,7 @@
 			"amrctl": runCommand,
 			"faults": setFaults,
 			"tamper": tamper,
+			"strike": strike,
 		},
 	})
 }
@@ -55,6 +58,7 @@
 	settings := amrrouter.DefaultSettings()
 	settings.Name = "router-1"
 	settings.AvailabilityZone = "a"
+	settings.StopDelay = 0
 	settings.OperatorKeys = []string{hex.EncodeToString(digest[:])}
 	router, err := amrrouter.New(settings, amrrouter.WithPlatform(platform), amrrouter.WithListeners(listeners), amrrouter.WithLogger(slog.New(slog.DiscardHandler)))
 	if err != nil {
@@ -99,6 +103,15 @@
 	platformOf(ts).SetFaults(amrmemory.Faults{LoseNext: lost})
 }
 
+func strike(ts *testscript.TestScript, _ bool, args []string) {
+	store := amrsuspect.NewStore(platformOf(ts))
+	fingerprint := amrsuspect.FingerprintOf(args[0], args[1])
+	for _, crash := range args[2:] {
+		ts.Check(store.Strike(context.Background(), fingerprint, args[0], crash))
+	}
+	ts.Setenv("FINGERPRINT", fingerprint.String())
+}
+
 func tamper(ts *testscript.TestScript, _ bool, args []string) {
 	revision, err := strconv.Atoi(args[0])
 	ts.Check(err)
--- a/router/design/operators.go
+++ b/router/design/operators.go
@@ -132,6 +132,14 @@
 	APIKey("bearer", "key", String, "Key of a team of operators.")
 }
 
+var suspect = Type("Suspect", func() {
+	Attribute("fingerprint", String, "Identifies the request's team and content.")
+	Attribute("team", String)
+	Attribute("crashes", ArrayOf(String), "Backend servers that were lost, with their incarnations.")
+	Attribute("quarantined", Boolean, "Whether the request runs no more.")
+	Required("fingerprint", "team", "crashes", "quarantined")
+})
+
 func operatorChange() {
 	operatorKey()
 	Attribute("operator", String, "Who makes the change.", func() {
@@ -214,6 +222,42 @@
 		})
 	})
 
+	Method("suspects", func() {
+		Description("Lists requests that were running when a backend server crashed.")
+		Payload(func() {
+			operatorKey()
+			Required("key")
+		})
+		Result(ArrayOf(suspect))
+		HTTP(func() {
+			GET("/v1/suspects")
+			Header("key:Authorization")
+			Response(StatusOK)
+		})
+	})
+
+	Method("lift", func() {
+		Description("Drops the strikes of a request, so that it may run again.")
+		Payload(func() {
+			operatorKey()
+			Attribute("fingerprint", String, func() { MaxLength(64) })
+			Attribute("operator", String, "Who lifts it.", func() {
+				MinLength(1)
+				MaxLength(128)
+			})
+			Attribute("reason", String, "Why.", func() {
+				MinLength(1)
+				MaxLength(1000)
+			})
+			Required("key", "fingerprint", "operator", "reason")
+		})
+		HTTP(func() {
+			POST("/v1/suspects/{fingerprint}/lift")
+			Header("key:Authorization")
+			Response(StatusNoContent)
+		})
+	})
+
 	Method("records", func() {
 		Payload(func() {
 			operatorKey()
--- a/router/gen/http/cli/router/cli.go
+++ b/router/gen/http/cli/router/cli.go
@@ -25,14 +25,14 @@
 func UsageCommands() []string {
 	return []string{
 		"callers (chat|complete|call)",
-		"operators (apply|rollback|drain|records|history|verify|explain|why-not|status)",
+		"operators (apply|rollback|drain|suspects|lift|records|history|verify|explain|why-not|status)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 7772,\n      \"messages\": [\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         }\n      ],\n      \"model\": \"jy7\",\n      \"stream\": true\n   }' --key \"Explicabo et.\" --idempotency-key \"qbs\" --timeout \"Repellat animi ratione.\" --traffic-priority 4" + "\n" +
-		os.Args[0] + " " + "operators apply --body '{\n      \"base\": 2174811047410105826,\n      \"delete\": [\n         \"Quos quod velit placeat fuga non praesentium.\",\n         \"Nisi omnis.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         }\n      ],\n      \"operator\": \"y4\",\n      \"reason\": \"gbq\",\n      \"token\": \"zq4\"\n   }' --key \"Ipsam quisquam consectetur quibusdam sit tempora.\"" + "\n" +
+	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 46833,\n      \"messages\": [\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         },\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         }\n      ],\n      \"model\": \"6om\",\n      \"stream\": false\n   }' --key \"Error porro dolor veritatis consequuntur.\" --idempotency-key \"8se\" --timeout \"Quo impedit est.\" --traffic-priority 2" + "\n" +
+		os.Args[0] + " " + "operators apply --body '{\n      \"base\": 10968442573000220139,\n      \"delete\": [\n         \"Aut iure placeat eligendi id.\",\n         \"Sequi qui necessitatibus ut aut.\",\n         \"Id dolorem voluptatem nostrum.\"\n      ],\n      \"dry_run\": true,\n      \"files\": [\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         },\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         }\n      ],\n      \"operator\": \"cet\",\n      \"reason\": \"v\",\n      \"token\": \"9d3\"\n   }' --key \"Atque voluptatibus itaque.\"" + "\n" +
 		""
 }
 
@@ -87,6 +87,14 @@
 		operatorsDrainNameFlag = operatorsDrainFlags.String("name", "REQUIRED", "")
 		operatorsDrainKeyFlag  = operatorsDrainFlags.String("key", "REQUIRED", "")
 
+		operatorsSuspectsFlags   = flag.NewFlagSet("suspects", flag.ExitOnError)
+		operatorsSuspectsKeyFlag = operatorsSuspectsFlags.String("key", "REQUIRED", "")
+
+		operatorsLiftFlags           = flag.NewFlagSet("lift", flag.ExitOnError)
+		operatorsLiftBodyFlag        = operatorsLiftFlags.String("body", "REQUIRED", "")
+		operatorsLiftFingerprintFlag = operatorsLiftFlags.String("fingerprint", "REQUIRED", "")
+		operatorsLiftKeyFlag         = operatorsLiftFlags.String("key", "REQUIRED", "")
+
 		operatorsRecordsFlags        = flag.NewFlagSet("records", flag.ExitOnError)
 		operatorsRecordsKindFlag     = operatorsRecordsFlags.String("kind", "", "")
 		operatorsRecordsNameFlag     = operatorsRecordsFlags.String("name", "", "")
@@ -128,6 +136,8 @@
 	operatorsApplyFlags.Usage = operatorsApplyUsage
 	operatorsRollbackFlags.Usage = operatorsRollbackUsage
 	operatorsDrainFlags.Usage = operatorsDrainUsage
+	operatorsSuspectsFlags.Usage = operatorsSuspectsUsage
+	operatorsLiftFlags.Usage = operatorsLiftUsage
 	operatorsRecordsFlags.Usage = operatorsRecordsUsage
 	operatorsHistoryFlags.Usage = operatorsHistoryUsage
 	operatorsVerifyFlags.Usage = operatorsVerifyUsage
@@ -193,6 +203,12 @@
 			case "drain":
 				epf = operatorsDrainFlags
 
+			case "suspects":
+				epf = operatorsSuspectsFlags
+
+			case "lift":
+				epf = operatorsLiftFlags
+
 			case "records":
 				epf = operatorsRecordsFlags
 
@@ -261,6 +277,12 @@
 			case "drain":
 				endpoint = c.Drain()
 				data, err = operatorsc.BuildDrainPayload(*operatorsDrainBodyFlag, *operatorsDrainNameFlag, *operatorsDrainKeyFlag)
+			case "suspects":
+				endpoint = c.Suspects()
+				data, err = operatorsc.BuildSuspectsPayload(*operatorsSuspectsKeyFlag)
+			case "lift":
+				endpoint = c.Lift()
+				data, err = operatorsc.BuildLiftPayload(*operatorsLiftBodyFlag, *operatorsLiftFingerprintFlag, *operatorsLiftKeyFlag)
 			case "records":
 				endpoint = c.Records()
 				data, err = operatorsc.BuildRecordsPayload(*operatorsRecordsKindFlag, *operatorsRecordsNameFlag, *operatorsRecordsRevisionFlag, *operatorsRecordsVariantsFlag, *operatorsRecordsKeyFlag)
@@ -324,7 +346,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 7772,\n      \"messages\": [\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         },\n         {\n            \"content\": \"Illum vitae.\",\n            \"role\": \"8qz\"\n         }\n      ],\n      \"model\": \"jy7\",\n      \"stream\": true\n   }' --key \"Explicabo et.\" --idempotency-key \"qbs\" --timeout \"Repellat animi ratione.\" --traffic-priority 4")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 46833,\n      \"messages\": [\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         },\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         }\n      ],\n      \"model\": \"6om\",\n      \"stream\": false\n   }' --key \"Error porro dolor veritatis consequuntur.\" --idempotency-key \"8se\" --timeout \"Quo impedit est.\" --traffic-priority 2")
 }
 
 func callersCompleteUsage() {
@@ -350,7 +372,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 34131,\n      \"model\": \"8ap\",\n      \"prompt\": \"Incidunt perferendis et rerum velit velit.\",\n      \"stream\": true\n   }' --key \"Alias laboriosam et vel repellat est.\" --idempotency-key \"06v\" --timeout \"Quis qui sequi voluptate.\" --traffic-priority 2")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 62226,\n      \"model\": \"da1\",\n      \"prompt\": \"Eum reprehenderit aut sunt ad quis.\",\n      \"stream\": false\n   }' --key \"Et sequi.\" --idempotency-key \"srm\" --timeout \"A aut cum velit aut in.\" --traffic-priority 5")
 }
 
 func callersCallUsage() {
@@ -382,7 +404,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Alias ut vero debitis cumque numquam quae.\" --path \"Quasi est qui sit consequatur quam eos.\" --key \"Esse perferendis fuga et est.\" --idempotency-key \"bhe\" --timeout \"Dolorum neque nostrum.\" --traffic-priority 7 --content-type \"Fuga sed harum.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Maxime ut sit magni amet.\" --path \"Inventore voluptatem qui ex necessitatibus dicta.\" --key \"Maxime ducimus cumque ut aut.\" --idempotency-key \"vdo\" --timeout \"Mollitia qui ullam corrupti iste aut.\" --traffic-priority 1 --content-type \"Reiciendis quia minus earum.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -394,6 +416,8 @@
 	fmt.Fprintln(os.Stderr, `    apply: Puts and deletes records, all or none.`)
 	fmt.Fprintln(os.Stderr, `    rollback: Brings back the records of an older revision as a new one.`)
 	fmt.Fprintln(os.Stderr, `    drain: Starts or ends the draining of a backend server by its record.`)
+	fmt.Fprintln(os.Stderr, `    suspects: Lists requests that were running when a backend server crashed.`)
+	fmt.Fprintln(os.Stderr, `    lift: Drops the strikes of a request, so that it may run again.`)
 	fmt.Fprintln(os.Stderr, `    records: Records implements records.`)
 	fmt.Fprintln(os.Stderr, `    history: Returns the newest entries of the audit trail.`)
 	fmt.Fprintln(os.Stderr, `    verify: Checks that no entry of the audit trail is missing or edited.`)
@@ -421,7 +445,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply --body '{\n      \"base\": 2174811047410105826,\n      \"delete\": [\n         \"Quos quod velit placeat fuga non praesentium.\",\n         \"Nisi omnis.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         }\n      ],\n      \"operator\": \"y4\",\n      \"reason\": \"gbq\",\n      \"token\": \"zq4\"\n   }' --key \"Ipsam quisquam consectetur quibusdam sit tempora.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply --body '{\n      \"base\": 10968442573000220139,\n      \"delete\": [\n         \"Aut iure placeat eligendi id.\",\n         \"Sequi qui necessitatibus ut aut.\",\n         \"Id dolorem voluptatem nostrum.\"\n      ],\n      \"dry_run\": true,\n      \"files\": [\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         },\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         }\n      ],\n      \"operator\": \"cet\",\n      \"reason\": \"v\",\n      \"token\": \"9d3\"\n   }' --key \"Atque voluptatibus itaque.\"")
 }
 
 func operatorsRollbackUsage() {
@@ -441,7 +465,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback --body '{\n      \"base\": 8124570131131898199,\n      \"dry_run\": false,\n      \"operator\": \"h\",\n      \"reason\": \"3h2\",\n      \"revision\": 16217404673943216255,\n      \"token\": \"b9n\"\n   }' --key \"Quas earum nemo enim beatae consequatur.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback --body '{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"9\",\n      \"reason\": \"1\",\n      \"revision\": 10535304478529585354,\n      \"token\": \"6lo\"\n   }' --key \"Pariatur beatae optio distinctio et.\"")
 }
 
 func operatorsDrainUsage() {
@@ -463,7 +487,47 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators drain --body '{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"99\",\n      \"reason\": \"1\",\n      \"token\": \"6lo\",\n      \"undo\": true\n   }' --name \"Pariatur beatae optio distinctio et.\" --key \"Rerum nulla quo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators drain --body '{\n      \"base\": 9924249077467467422,\n      \"dry_run\": true,\n      \"operator\": \"553\",\n      \"reason\": \"s\",\n      \"token\": \"9rx\",\n      \"undo\": false\n   }' --name \"Tempore voluptas quasi aut dolores mollitia.\" --key \"Unde dolore in corrupti.\"")
+}
+
+func operatorsSuspectsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators suspects", os.Args[0])
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists requests that were running when a backend server crashed.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators suspects --key \"Sit quia minima perspiciatis eos sunt.\"")
+}
+
+func operatorsLiftUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators lift", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -fingerprint STRING")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Drops the strikes of a request, so that it may run again.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -fingerprint STRING: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators lift --body '{\n      \"operator\": \"t\",\n      \"reason\": \"gv4\"\n   }' --fingerprint \"z9c\" --key \"Iure corporis.\"")
 }
 
 func operatorsRecordsUsage() {
@@ -489,7 +553,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators records --kind \"Eaque fugit quos eum impedit cum.\" --name \"Doloremque nam.\" --revision 8257068088333112157 --variants true --key \"Voluptates reprehenderit tempore voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators records --kind \"Non ea laudantium odit suscipit beatae veritatis.\" --name \"Quidem reprehenderit magni nesciunt aut velit.\" --revision 10391812764910517674 --variants true --key \"Molestiae sit aut enim.\"")
 }
 
 func operatorsHistoryUsage() {
@@ -513,7 +577,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators history --record \"Quia minima.\" --before 11089834371257902575 --limit 283 --key \"Cumque aliquid nobis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators history --record \"Molestiae quo aut natus veniam necessitatibus.\" --before 1668583588107485943 --limit 507 --key \"Sunt aut dolor saepe.\"")
 }
 
 func operatorsVerifyUsage() {
@@ -531,7 +595,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators verify --key \"Aspernatur modi nihil.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators verify --key \"Ipsam exercitationem.\"")
 }
 
 func operatorsExplainUsage() {
@@ -551,7 +615,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"Assumenda tempora explicabo veritatis voluptate minima.\" --key \"Aut amet sed laboriosam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"Aut est deleniti.\" --key \"Dolorem iure quisquam.\"")
 }
 
 func operatorsWhyNotUsage() {
@@ -581,7 +645,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators why-not --team \"Et ipsam exercitationem autem.\" --deployment \"Exercitationem quidem ipsum dolorum aut laboriosam.\" --reason \"Porro quidem aut velit vel ipsam consequatur.\" --since \"Reiciendis quo sed dolores facere pariatur.\" --until \"Culpa tenetur libero aut est.\" --limit 579 --key \"Dolorem iure quisquam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators why-not --team \"Eius culpa quis consequatur.\" --deployment \"Perspiciatis velit est et repellendus.\" --reason \"Molestiae ut.\" --since \"Earum rerum tempore quod unde non magnam.\" --until \"Voluptatem consequatur velit.\" --limit 366 --key \"Aut numquam deleniti.\"")
 }
 
 func operatorsStatusUsage() {
@@ -599,5 +663,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators status --key \"Quaerat saepe corrupti id quisquam impedit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators status --key \"Minima delectus cupiditate occaecati atque consectetur.\"")
 }
--- a/router/gen/http/operators/client/cli.go
+++ b/router/gen/http/operators/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 2174811047410105826,\n      \"delete\": [\n         \"Quos quod velit placeat fuga non praesentium.\",\n         \"Nisi omnis.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         },\n         {\n            \"content\": \"wa0\",\n            \"name\": \"oil\"\n         }\n      ],\n      \"operator\": \"y4\",\n      \"reason\": \"gbq\",\n      \"token\": \"zq4\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 10968442573000220139,\n      \"delete\": [\n         \"Aut iure placeat eligendi id.\",\n         \"Sequi qui necessitatibus ut aut.\",\n         \"Id dolorem voluptatem nostrum.\"\n      ],\n      \"dry_run\": true,\n      \"files\": [\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         },\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         }\n      ],\n      \"operator\": \"cet\",\n      \"reason\": \"v\",\n      \"token\": \"9d3\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
@@ -107,7 +107,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsRollbackBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 8124570131131898199,\n      \"dry_run\": false,\n      \"operator\": \"h\",\n      \"reason\": \"3h2\",\n      \"revision\": 16217404673943216255,\n      \"token\": \"b9n\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"9\",\n      \"reason\": \"1\",\n      \"revision\": 10535304478529585354,\n      \"token\": \"6lo\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
@@ -167,7 +167,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsDrainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"99\",\n      \"reason\": \"1\",\n      \"token\": \"6lo\",\n      \"undo\": true\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 9924249077467467422,\n      \"dry_run\": true,\n      \"operator\": \"553\",\n      \"reason\": \"s\",\n      \"token\": \"9rx\",\n      \"undo\": false\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
@@ -230,6 +230,69 @@
 	return v, nil
 }
 
+// BuildSuspectsPayload builds the payload for the operators suspects endpoint
+// from CLI flags.
+func BuildSuspectsPayload(operatorsSuspectsKey string) (*operators.SuspectsPayload, error) {
+	var key string
+	{
+		key = operatorsSuspectsKey
+	}
+	v := &operators.SuspectsPayload{}
+	v.Key = key
+
+	return v, nil
+}
+
+// BuildLiftPayload builds the payload for the operators lift endpoint from CLI
+// flags.
+func BuildLiftPayload(operatorsLiftBody string, operatorsLiftFingerprint string, operatorsLiftKey string) (*operators.LiftPayload, error) {
+	var err error
+	var body LiftRequestBody
+	{
+		err = json.Unmarshal([]byte(operatorsLiftBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"operator\": \"t\",\n      \"reason\": \"gv4\"\n   }'")
+		}
+		if utf8.RuneCountInString(body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
+		}
+		if utf8.RuneCountInString(body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 128, false))
+		}
+		if utf8.RuneCountInString(body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1, true))
+		}
+		if utf8.RuneCountInString(body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1000, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var fingerprint string
+	{
+		fingerprint = operatorsLiftFingerprint
+		if utf8.RuneCountInString(fingerprint) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("fingerprint", fingerprint, utf8.RuneCountInString(fingerprint), 64, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var key string
+	{
+		key = operatorsLiftKey
+	}
+	v := &operators.LiftPayload{
+		Operator: body.Operator,
+		Reason:   body.Reason,
+	}
+	v.Fingerprint = fingerprint
+	v.Key = key
+
+	return v, nil
+}
+
 // BuildRecordsPayload builds the payload for the operators records endpoint
 // from CLI flags.
 func BuildRecordsPayload(operatorsRecordsKind string, operatorsRecordsName string, operatorsRecordsRevision string, operatorsRecordsVariants string, operatorsRecordsKey string) (*operators.RecordsPayload, error) {
--- a/router/gen/http/operators/client/client.go
+++ b/router/gen/http/operators/client/client.go
@@ -27,6 +27,13 @@
 	// Drain Doer is the HTTP client used to make requests to the drain endpoint.
 	DrainDoer goahttp.Doer
 
+	// Suspects Doer is the HTTP client used to make requests to the suspects
+	// endpoint.
+	SuspectsDoer goahttp.Doer
+
+	// Lift Doer is the HTTP client used to make requests to the lift endpoint.
+	LiftDoer goahttp.Doer
+
 	// Records Doer is the HTTP client used to make requests to the records
 	// endpoint.
 	RecordsDoer goahttp.Doer
@@ -71,6 +78,8 @@
 		ApplyDoer:           doer,
 		RollbackDoer:        doer,
 		DrainDoer:           doer,
+		SuspectsDoer:        doer,
+		LiftDoer:            doer,
 		RecordsDoer:         doer,
 		HistoryDoer:         doer,
 		VerifyDoer:          doer,
@@ -157,6 +166,54 @@
 	}
 }
 
+// Suspects returns an endpoint that makes HTTP requests to the operators
+// service suspects server.
+func (c *Client) Suspects() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeSuspectsRequest(c.encoder)
+		decodeResponse = DecodeSuspectsResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildSuspectsRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.SuspectsDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "suspects", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Lift returns an endpoint that makes HTTP requests to the operators service
+// lift server.
+func (c *Client) Lift() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeLiftRequest(c.encoder)
+		decodeResponse = DecodeLiftResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildLiftRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.LiftDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "lift", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Records returns an endpoint that makes HTTP requests to the operators
 // service records server.
 func (c *Client) Records() goa.Endpoint {
--- a/router/gen/http/operators/client/encode_decode.go
+++ b/router/gen/http/operators/client/encode_decode.go
@@ -17,6 +17,7 @@
 
 	operators "amaranthreach.example/router/gen/operators"
 	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
 )
 
 // BuildApplyRequest instantiates a HTTP request object with method and path
@@ -575,6 +576,369 @@
 	}
 }
 
+// BuildSuspectsRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "suspects" endpoint
+func (c *Client) BuildSuspectsRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: SuspectsOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "suspects", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeSuspectsRequest returns an encoder for requests sent to the operators
+// suspects server.
+func EncodeSuspectsRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.SuspectsPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "suspects", "*operators.SuspectsPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeSuspectsResponse returns a decoder for responses returned by the
+// operators suspects endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeSuspectsResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeSuspectsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*SuspectResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateSuspectResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			res := NewSuspectsSuspectOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body SuspectsBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body SuspectsUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body SuspectsForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body SuspectsNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body SuspectsConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body SuspectsTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body SuspectsUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "suspects", err)
+			}
+			err = ValidateSuspectsUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "suspects", err)
+			}
+			return nil, NewSuspectsUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "suspects", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildLiftRequest instantiates a HTTP request object with method and path set
+// to call the "operators" service "lift" endpoint
+func (c *Client) BuildLiftRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		fingerprint string
+	)
+	{
+		p, ok := v.(*operators.LiftPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operators", "lift", "*operators.LiftPayload", v)
+		}
+		fingerprint = p.Fingerprint
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: LiftOperatorsPath(fingerprint)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "lift", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeLiftRequest returns an encoder for requests sent to the operators lift
+// server.
+func EncodeLiftRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.LiftPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "lift", "*operators.LiftPayload", v)
+		}
+		{
+			head := p.Key
+			req.Header.Set("Authorization", head)
+		}
+		body := NewLiftRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("operators", "lift", err)
+		}
+		return nil
+	}
+}
+
+// DecodeLiftResponse returns a decoder for responses returned by the operators
+// lift endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeLiftResponse may return the following errors:
+//   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "forbidden" (type *goa.ServiceError): http.StatusForbidden
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "conflict" (type *goa.ServiceError): http.StatusConflict
+//   - "tampered" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeLiftResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusNoContent:
+			return nil, nil
+		case http.StatusBadRequest:
+			var (
+				body LiftBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body LiftUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body LiftForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body LiftNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body LiftConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftConflict(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body LiftTamperedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftTamperedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftTampered(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body LiftUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "lift", err)
+			}
+			err = ValidateLiftUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "lift", err)
+			}
+			return nil, NewLiftUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "lift", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildRecordsRequest instantiates a HTTP request object with method and path
 // set to call the "operators" service "records" endpoint
 func (c *Client) BuildRecordsRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -1728,6 +2092,22 @@
 	return res
 }
 
+// unmarshalSuspectResponseToOperatorsSuspect builds a value of type
+// *operators.Suspect from a value of type *SuspectResponse.
+func unmarshalSuspectResponseToOperatorsSuspect(v *SuspectResponse) *operators.Suspect {
+	res := &operators.Suspect{
+		Fingerprint: *v.Fingerprint,
+		Team:        *v.Team,
+		Quarantined: *v.Quarantined,
+	}
+	res.Crashes = make([]string, len(v.Crashes))
+	for i, val := range v.Crashes {
+		res.Crashes[i] = val
+	}
+
+	return res
+}
+
 // unmarshalHeldRecordResponseBodyToOperatorsHeldRecord builds a value of type
 // *operators.HeldRecord from a value of type *HeldRecordResponseBody.
 func unmarshalHeldRecordResponseBodyToOperatorsHeldRecord(v *HeldRecordResponseBody) *operators.HeldRecord {
--- a/router/gen/http/operators/client/types.go
+++ b/router/gen/http/operators/client/types.go
@@ -65,6 +65,15 @@
 	Undo bool `form:"undo" json:"undo" xml:"undo"`
 }
 
+// LiftRequestBody is the type of the "operators" service "lift" endpoint HTTP
+// request body.
+type LiftRequestBody struct {
+	// Who lifts it.
+	Operator string `form:"operator" json:"operator" xml:"operator"`
+	// Why.
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+}
+
 // ApplyResponseBody is the type of the "operators" service "apply" endpoint
 // HTTP response body.
 type ApplyResponseBody struct {
@@ -538,6 +547,258 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// SuspectsBadRequestResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "bad_request" error.
+type SuspectsBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SuspectsUnauthorizedResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "unauthorized" error.
+type SuspectsUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SuspectsForbiddenResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "forbidden" error.
+type SuspectsForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SuspectsNotFoundResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "not_found" error.
+type SuspectsNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SuspectsConflictResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "conflict" error.
+type SuspectsConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SuspectsTamperedResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "tampered" error.
+type SuspectsTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SuspectsUnavailableResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "unavailable" error.
+type SuspectsUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftBadRequestResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "bad_request" error.
+type LiftBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftUnauthorizedResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "unauthorized" error.
+type LiftUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftForbiddenResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "forbidden" error.
+type LiftForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftNotFoundResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "not_found" error.
+type LiftNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftConflictResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "conflict" error.
+type LiftConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftTamperedResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "tampered" error.
+type LiftTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// LiftUnavailableResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "unavailable" error.
+type LiftUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // RecordsBadRequestResponseBody is the type of the "operators" service
 // "records" endpoint HTTP response body for the "bad_request" error.
 type RecordsBadRequestResponseBody struct {
@@ -1312,6 +1573,17 @@
 	After *string `form:"after,omitempty" json:"after,omitempty" xml:"after,omitempty"`
 }
 
+// SuspectResponse is used to define fields on response body types.
+type SuspectResponse struct {
+	// Identifies the request's team and content.
+	Fingerprint *string `form:"fingerprint,omitempty" json:"fingerprint,omitempty" xml:"fingerprint,omitempty"`
+	Team        *string `form:"team,omitempty" json:"team,omitempty" xml:"team,omitempty"`
+	// Backend servers that were lost, with their incarnations.
+	Crashes []string `form:"crashes,omitempty" json:"crashes,omitempty" xml:"crashes,omitempty"`
+	// Whether the request runs no more.
+	Quarantined *bool `form:"quarantined,omitempty" json:"quarantined,omitempty" xml:"quarantined,omitempty"`
+}
+
 // HeldRecordResponseBody is used to define fields on response body types.
 type HeldRecordResponseBody struct {
 	// Kind and name.
@@ -1503,6 +1775,16 @@
 	return body
 }
 
+// NewLiftRequestBody builds the HTTP request body from the payload of the
+// "lift" endpoint of the "operators" service.
+func NewLiftRequestBody(p *operators.LiftPayload) *LiftRequestBody {
+	body := &LiftRequestBody{
+		Operator: p.Operator,
+		Reason:   p.Reason,
+	}
+	return body
+}
+
 // NewApplyAppliedOK builds a "operators" service "apply" endpoint result from
 // a HTTP "OK" response.
 func NewApplyAppliedOK(body *ApplyResponseBody) *operators.Applied {
@@ -1864,27 +2146,24 @@
 	return v
 }
 
-// NewRecordsHeldRecordsOK builds a "operators" service "records" endpoint
-// result from a HTTP "OK" response.
-func NewRecordsHeldRecordsOK(body *RecordsResponseBody) *operators.HeldRecords {
-	v := &operators.HeldRecords{
-		Revision: *body.Revision,
-	}
-	v.Records = make([]*operators.HeldRecord, len(body.Records))
-	for i, val := range body.Records {
+// NewSuspectsSuspectOK builds a "operators" service "suspects" endpoint result
+// from a HTTP "OK" response.
+func NewSuspectsSuspectOK(body []*SuspectResponse) []*operators.Suspect {
+	v := make([]*operators.Suspect, len(body))
+	for i, val := range body {
 		if val == nil {
-			v.Records[i] = nil
+			v[i] = nil
 			continue
 		}
-		v.Records[i] = unmarshalHeldRecordResponseBodyToOperatorsHeldRecord(val)
+		v[i] = unmarshalSuspectResponseToOperatorsSuspect(val)
 	}
 
 	return v
 }
 
-// NewRecordsBadRequest builds a operators service records endpoint bad_request
-// error.
-func NewRecordsBadRequest(body *RecordsBadRequestResponseBody) *goa.ServiceError {
+// NewSuspectsBadRequest builds a operators service suspects endpoint
+// bad_request error.
+func NewSuspectsBadRequest(body *SuspectsBadRequestResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
 		Name:      *body.Name,
 		ID:        *body.ID,
@@ -1897,9 +2176,9 @@
 	return v
 }
 
-// NewRecordsUnauthorized builds a operators service records endpoint
+// NewSuspectsUnauthorized builds a operators service suspects endpoint
 // unauthorized error.
-func NewRecordsUnauthorized(body *RecordsUnauthorizedResponseBody) *goa.ServiceError {
+func NewSuspectsUnauthorized(body *SuspectsUnauthorizedResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
 		Name:      *body.Name,
 		ID:        *body.ID,
@@ -1912,9 +2191,9 @@
 	return v
 }
 
-// NewRecordsForbidden builds a operators service records endpoint forbidden
+// NewSuspectsForbidden builds a operators service suspects endpoint forbidden
 // error.
-func NewRecordsForbidden(body *RecordsForbiddenResponseBody) *goa.ServiceError {
+func NewSuspectsForbidden(body *SuspectsForbiddenResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
 		Name:      *body.Name,
 		ID:        *body.ID,
@@ -1927,9 +2206,9 @@
 	return v
 }
 
-// NewRecordsNotFound builds a operators service records endpoint not_found
+// NewSuspectsNotFound builds a operators service suspects endpoint not_found
 // error.
-func NewRecordsNotFound(body *RecordsNotFoundResponseBody) *goa.ServiceError {
+func NewSuspectsNotFound(body *SuspectsNotFoundResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
 		Name:      *body.Name,
 		ID:        *body.ID,
@@ -1942,9 +2221,9 @@
 	return v
 }
 
-// NewRecordsConflict builds a operators service records endpoint conflict
+// NewSuspectsConflict builds a operators service suspects endpoint conflict
 // error.
-func NewRecordsConflict(body *RecordsConflictResponseBody) *goa.ServiceError {
+func NewSuspectsConflict(body *SuspectsConflictResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
 		Name:      *body.Name,
 		ID:        *body.ID,
@@ -1957,9 +2236,9 @@
 	return v
 }
 
-// NewRecordsTampered builds a operators service records endpoint tampered
+// NewSuspectsTampered builds a operators service suspects endpoint tampered
 // error.
-func NewRecordsTampered(body *RecordsTamperedResponseBody) *goa.ServiceError {
+func NewSuspectsTampered(body *SuspectsTamperedResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
 		Name:      *body.Name,
 		ID:        *body.ID,
@@ -1972,7 +2251,230 @@
 	return v
 }
 
-// NewRecordsUnavailable builds a operators service records endpoint
+// NewSuspectsUnavailable builds a operators service suspects endpoint
+// unavailable error.
+func NewSuspectsUnavailable(body *SuspectsUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftBadRequest builds a operators service lift endpoint bad_request error.
+func NewLiftBadRequest(body *LiftBadRequestResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftUnauthorized builds a operators service lift endpoint unauthorized
+// error.
+func NewLiftUnauthorized(body *LiftUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftForbidden builds a operators service lift endpoint forbidden error.
+func NewLiftForbidden(body *LiftForbiddenResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftNotFound builds a operators service lift endpoint not_found error.
+func NewLiftNotFound(body *LiftNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftConflict builds a operators service lift endpoint conflict error.
+func NewLiftConflict(body *LiftConflictResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftTampered builds a operators service lift endpoint tampered error.
+func NewLiftTampered(body *LiftTamperedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewLiftUnavailable builds a operators service lift endpoint unavailable
+// error.
+func NewLiftUnavailable(body *LiftUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsHeldRecordsOK builds a "operators" service "records" endpoint
+// result from a HTTP "OK" response.
+func NewRecordsHeldRecordsOK(body *RecordsResponseBody) *operators.HeldRecords {
+	v := &operators.HeldRecords{
+		Revision: *body.Revision,
+	}
+	v.Records = make([]*operators.HeldRecord, len(body.Records))
+	for i, val := range body.Records {
+		if val == nil {
+			v.Records[i] = nil
+			continue
+		}
+		v.Records[i] = unmarshalHeldRecordResponseBodyToOperatorsHeldRecord(val)
+	}
+
+	return v
+}
+
+// NewRecordsBadRequest builds a operators service records endpoint bad_request
+// error.
+func NewRecordsBadRequest(body *RecordsBadRequestResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsUnauthorized builds a operators service records endpoint
+// unauthorized error.
+func NewRecordsUnauthorized(body *RecordsUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsForbidden builds a operators service records endpoint forbidden
+// error.
+func NewRecordsForbidden(body *RecordsForbiddenResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsNotFound builds a operators service records endpoint not_found
+// error.
+func NewRecordsNotFound(body *RecordsNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsConflict builds a operators service records endpoint conflict
+// error.
+func NewRecordsConflict(body *RecordsConflictResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsTampered builds a operators service records endpoint tampered
+// error.
+func NewRecordsTampered(body *RecordsTamperedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewRecordsUnavailable builds a operators service records endpoint
 // unavailable error.
 func NewRecordsUnavailable(body *RecordsUnavailableResponseBody) *goa.ServiceError {
 	v := &goa.ServiceError{
@@ -3335,6 +3837,342 @@
 	return
 }
 
+// ValidateSuspectsBadRequestResponseBody runs the validations defined on
+// suspects_bad_request_response_body
+func ValidateSuspectsBadRequestResponseBody(body *SuspectsBadRequestResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSuspectsUnauthorizedResponseBody runs the validations defined on
+// suspects_unauthorized_response_body
+func ValidateSuspectsUnauthorizedResponseBody(body *SuspectsUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSuspectsForbiddenResponseBody runs the validations defined on
+// suspects_forbidden_response_body
+func ValidateSuspectsForbiddenResponseBody(body *SuspectsForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSuspectsNotFoundResponseBody runs the validations defined on
+// suspects_not_found_response_body
+func ValidateSuspectsNotFoundResponseBody(body *SuspectsNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSuspectsConflictResponseBody runs the validations defined on
+// suspects_conflict_response_body
+func ValidateSuspectsConflictResponseBody(body *SuspectsConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSuspectsTamperedResponseBody runs the validations defined on
+// suspects_tampered_response_body
+func ValidateSuspectsTamperedResponseBody(body *SuspectsTamperedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSuspectsUnavailableResponseBody runs the validations defined on
+// suspects_unavailable_response_body
+func ValidateSuspectsUnavailableResponseBody(body *SuspectsUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftBadRequestResponseBody runs the validations defined on
+// lift_bad_request_response_body
+func ValidateLiftBadRequestResponseBody(body *LiftBadRequestResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftUnauthorizedResponseBody runs the validations defined on
+// lift_unauthorized_response_body
+func ValidateLiftUnauthorizedResponseBody(body *LiftUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftForbiddenResponseBody runs the validations defined on
+// lift_forbidden_response_body
+func ValidateLiftForbiddenResponseBody(body *LiftForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftNotFoundResponseBody runs the validations defined on
+// lift_not_found_response_body
+func ValidateLiftNotFoundResponseBody(body *LiftNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftConflictResponseBody runs the validations defined on
+// lift_conflict_response_body
+func ValidateLiftConflictResponseBody(body *LiftConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftTamperedResponseBody runs the validations defined on
+// lift_tampered_response_body
+func ValidateLiftTamperedResponseBody(body *LiftTamperedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateLiftUnavailableResponseBody runs the validations defined on
+// lift_unavailable_response_body
+func ValidateLiftUnavailableResponseBody(body *LiftUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateRecordsBadRequestResponseBody runs the validations defined on
 // records_bad_request_response_body
 func ValidateRecordsBadRequestResponseBody(body *RecordsBadRequestResponseBody) (err error) {
@@ -4370,6 +5208,23 @@
 	return
 }
 
+// ValidateSuspectResponse runs the validations defined on SuspectResponse
+func ValidateSuspectResponse(body *SuspectResponse) (err error) {
+	if body.Fingerprint == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fingerprint", "body"))
+	}
+	if body.Team == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("team", "body"))
+	}
+	if body.Crashes == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("crashes", "body"))
+	}
+	if body.Quarantined == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("quarantined", "body"))
+	}
+	return
+}
+
 // ValidateHeldRecordResponseBody runs the validations defined on
 // HeldRecordResponseBody
 func ValidateHeldRecordResponseBody(body *HeldRecordResponseBody) (err error) {
--- a/router/gen/http/operators/server/encode_decode.go
+++ b/router/gen/http/operators/server/encode_decode.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	operators "amaranthreach.example/router/gen/operators"
 	goahttp "goa.design/goa/v3/http"
@@ -519,6 +520,321 @@
 	}
 }
 
+// EncodeSuspectsResponse returns an encoder for responses returned by the
+// operators suspects endpoint.
+func EncodeSuspectsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.([]*operators.Suspect)
+		enc := encoder(ctx, w)
+		body := NewSuspectsResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeSuspectsRequest returns a decoder for requests sent to the operators
+// suspects endpoint.
+func DecodeSuspectsRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.SuspectsPayload, error) {
+	return func(r *http.Request) (*operators.SuspectsPayload, error) {
+		var payload *operators.SuspectsPayload
+		var (
+			key string
+			err error
+		)
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewSuspectsPayload(key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeSuspectsError returns an encoder for errors returned by the suspects
+// operators endpoint.
+func EncodeSuspectsError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSuspectsUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeLiftResponse returns an encoder for responses returned by the
+// operators lift endpoint.
+func EncodeLiftResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		w.WriteHeader(http.StatusNoContent)
+		return nil
+	}
+}
+
+// DecodeLiftRequest returns a decoder for requests sent to the operators lift
+// endpoint.
+func DecodeLiftRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.LiftPayload, error) {
+	return func(r *http.Request) (*operators.LiftPayload, error) {
+		var payload *operators.LiftPayload
+		var (
+			body LiftRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateLiftRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			fingerprint string
+			key         string
+
+			params = mux.Vars(r)
+		)
+		fingerprint = params["fingerprint"]
+		if utf8.RuneCountInString(fingerprint) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("fingerprint", fingerprint, utf8.RuneCountInString(fingerprint), 64, false))
+		}
+		key = r.Header.Get("Authorization")
+		if key == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("key", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewLiftPayload(&body, fingerprint, key)
+		if strings.Contains(payload.Key, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Key, " ", 2)[1]
+			payload.Key = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeLiftError returns an encoder for errors returned by the lift operators
+// endpoint.
+func EncodeLiftError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "tampered":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftTamperedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewLiftUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeRecordsResponse returns an encoder for responses returned by the
 // operators records endpoint.
 func EncodeRecordsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -1539,6 +1855,26 @@
 	return res
 }
 
+// marshalOperatorsSuspectToSuspectResponse builds a value of type
+// *SuspectResponse from a value of type *operators.Suspect.
+func marshalOperatorsSuspectToSuspectResponse(v *operators.Suspect) *SuspectResponse {
+	res := &SuspectResponse{
+		Fingerprint: v.Fingerprint,
+		Team:        v.Team,
+		Quarantined: v.Quarantined,
+	}
+	if v.Crashes != nil {
+		res.Crashes = make([]string, len(v.Crashes))
+		for i, val := range v.Crashes {
+			res.Crashes[i] = val
+		}
+	} else {
+		res.Crashes = []string{}
+	}
+
+	return res
+}
+
 // marshalOperatorsHeldRecordToHeldRecordResponseBody builds a value of type
 // *HeldRecordResponseBody from a value of type *operators.HeldRecord.
 func marshalOperatorsHeldRecordToHeldRecordResponseBody(v *operators.HeldRecord) *HeldRecordResponseBody {
--- a/router/gen/http/operators/server/paths.go
+++ b/router/gen/http/operators/server/paths.go
@@ -26,6 +26,16 @@
 	return fmt.Sprintf("/v1/backend-servers/%v/drain", name)
 }
 
+// SuspectsOperatorsPath returns the URL path to the operators service suspects HTTP endpoint.
+func SuspectsOperatorsPath() string {
+	return "/v1/suspects"
+}
+
+// LiftOperatorsPath returns the URL path to the operators service lift HTTP endpoint.
+func LiftOperatorsPath(fingerprint string) string {
+	return fmt.Sprintf("/v1/suspects/%v/lift", fingerprint)
+}
+
 // RecordsOperatorsPath returns the URL path to the operators service records HTTP endpoint.
 func RecordsOperatorsPath() string {
 	return "/v1/records"
--- a/router/gen/http/operators/server/server.go
+++ b/router/gen/http/operators/server/server.go
@@ -22,6 +22,8 @@
 	Apply    http.Handler
 	Rollback http.Handler
 	Drain    http.Handler
+	Suspects http.Handler
+	Lift     http.Handler
 	Records  http.Handler
 	History  http.Handler
 	Verify   http.Handler
@@ -60,6 +62,8 @@
 			{"Apply", "POST", "/v1/records"},
 			{"Rollback", "POST", "/v1/rollback"},
 			{"Drain", "POST", "/v1/backend-servers/{name}/drain"},
+			{"Suspects", "GET", "/v1/suspects"},
+			{"Lift", "POST", "/v1/suspects/{fingerprint}/lift"},
 			{"Records", "GET", "/v1/records"},
 			{"History", "GET", "/v1/history"},
 			{"Verify", "GET", "/v1/audit/verify"},
@@ -70,6 +74,8 @@
 		Apply:    NewApplyHandler(e.Apply, mux, decoder, encoder, errhandler, formatter),
 		Rollback: NewRollbackHandler(e.Rollback, mux, decoder, encoder, errhandler, formatter),
 		Drain:    NewDrainHandler(e.Drain, mux, decoder, encoder, errhandler, formatter),
+		Suspects: NewSuspectsHandler(e.Suspects, mux, decoder, encoder, errhandler, formatter),
+		Lift:     NewLiftHandler(e.Lift, mux, decoder, encoder, errhandler, formatter),
 		Records:  NewRecordsHandler(e.Records, mux, decoder, encoder, errhandler, formatter),
 		History:  NewHistoryHandler(e.History, mux, decoder, encoder, errhandler, formatter),
 		Verify:   NewVerifyHandler(e.Verify, mux, decoder, encoder, errhandler, formatter),
@@ -87,6 +93,8 @@
 	s.Apply = m(s.Apply)
 	s.Rollback = m(s.Rollback)
 	s.Drain = m(s.Drain)
+	s.Suspects = m(s.Suspects)
+	s.Lift = m(s.Lift)
 	s.Records = m(s.Records)
 	s.History = m(s.History)
 	s.Verify = m(s.Verify)
@@ -103,6 +111,8 @@
 	MountApplyHandler(mux, h.Apply)
 	MountRollbackHandler(mux, h.Rollback)
 	MountDrainHandler(mux, h.Drain)
+	MountSuspectsHandler(mux, h.Suspects)
+	MountLiftHandler(mux, h.Lift)
 	MountRecordsHandler(mux, h.Records)
 	MountHistoryHandler(mux, h.History)
 	MountVerifyHandler(mux, h.Verify)
@@ -275,6 +285,112 @@
 	})
 }
 
+// MountSuspectsHandler configures the mux to serve the "operators" service
+// "suspects" endpoint.
+func MountSuspectsHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/suspects", f)
+}
+
+// NewSuspectsHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "suspects" endpoint.
+func NewSuspectsHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeSuspectsRequest(mux, decoder)
+		encodeResponse = EncodeSuspectsResponse(encoder)
+		encodeError    = EncodeSuspectsError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "suspects")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountLiftHandler configures the mux to serve the "operators" service "lift"
+// endpoint.
+func MountLiftHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/suspects/{fingerprint}/lift", f)
+}
+
+// NewLiftHandler creates a HTTP handler which loads the HTTP request and calls
+// the "operators" service "lift" endpoint.
+func NewLiftHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeLiftRequest(mux, decoder)
+		encodeResponse = EncodeLiftResponse(encoder)
+		encodeError    = EncodeLiftError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "lift")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountRecordsHandler configures the mux to serve the "operators" service
 // "records" endpoint.
 func MountRecordsHandler(mux goahttp.Muxer, h http.Handler) {
--- a/router/gen/http/operators/server/types.go
+++ b/router/gen/http/operators/server/types.go
@@ -65,6 +65,15 @@
 	Undo *bool `form:"undo,omitempty" json:"undo,omitempty" xml:"undo,omitempty"`
 }
 
+// LiftRequestBody is the type of the "operators" service "lift" endpoint HTTP
+// request body.
+type LiftRequestBody struct {
+	// Who lifts it.
+	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
+	// Why.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+}
+
 // ApplyResponseBody is the type of the "operators" service "apply" endpoint
 // HTTP response body.
 type ApplyResponseBody struct {
@@ -92,6 +101,10 @@
 	Changes  []*RecordChangeResponseBody `form:"changes" json:"changes" xml:"changes"`
 }
 
+// SuspectsResponseBody is the type of the "operators" service "suspects"
+// endpoint HTTP response body.
+type SuspectsResponseBody []*SuspectResponse
+
 // RecordsResponseBody is the type of the "operators" service "records"
 // endpoint HTTP response body.
 type RecordsResponseBody struct {
@@ -538,6 +551,258 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// SuspectsBadRequestResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "bad_request" error.
+type SuspectsBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SuspectsUnauthorizedResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "unauthorized" error.
+type SuspectsUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SuspectsForbiddenResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "forbidden" error.
+type SuspectsForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SuspectsNotFoundResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "not_found" error.
+type SuspectsNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SuspectsConflictResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "conflict" error.
+type SuspectsConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SuspectsTamperedResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "tampered" error.
+type SuspectsTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SuspectsUnavailableResponseBody is the type of the "operators" service
+// "suspects" endpoint HTTP response body for the "unavailable" error.
+type SuspectsUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftBadRequestResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "bad_request" error.
+type LiftBadRequestResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftUnauthorizedResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "unauthorized" error.
+type LiftUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftForbiddenResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "forbidden" error.
+type LiftForbiddenResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftNotFoundResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "not_found" error.
+type LiftNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftConflictResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "conflict" error.
+type LiftConflictResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftTamperedResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "tampered" error.
+type LiftTamperedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// LiftUnavailableResponseBody is the type of the "operators" service "lift"
+// endpoint HTTP response body for the "unavailable" error.
+type LiftUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // RecordsBadRequestResponseBody is the type of the "operators" service
 // "records" endpoint HTTP response body for the "bad_request" error.
 type RecordsBadRequestResponseBody struct {
@@ -1304,6 +1569,17 @@
 	After string `form:"after" json:"after" xml:"after"`
 }
 
+// SuspectResponse is used to define fields on response body types.
+type SuspectResponse struct {
+	// Identifies the request's team and content.
+	Fingerprint string `form:"fingerprint" json:"fingerprint" xml:"fingerprint"`
+	Team        string `form:"team" json:"team" xml:"team"`
+	// Backend servers that were lost, with their incarnations.
+	Crashes []string `form:"crashes" json:"crashes" xml:"crashes"`
+	// Whether the request runs no more.
+	Quarantined bool `form:"quarantined" json:"quarantined" xml:"quarantined"`
+}
+
 // HeldRecordResponseBody is used to define fields on response body types.
 type HeldRecordResponseBody struct {
 	// Kind and name.
@@ -1467,6 +1743,20 @@
 	return body
 }
 
+// NewSuspectsResponseBody builds the HTTP response body from the result of the
+// "suspects" endpoint of the "operators" service.
+func NewSuspectsResponseBody(res []*operators.Suspect) SuspectsResponseBody {
+	body := make([]*SuspectResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalOperatorsSuspectToSuspectResponse(val)
+	}
+	return body
+}
+
 // NewRecordsResponseBody builds the HTTP response body from the result of the
 // "records" endpoint of the "operators" service.
 func NewRecordsResponseBody(res *operators.HeldRecords) *RecordsResponseBody {
@@ -1910,6 +2200,202 @@
 	return body
 }
 
+// NewSuspectsBadRequestResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsBadRequestResponseBody(res *goa.ServiceError) *SuspectsBadRequestResponseBody {
+	body := &SuspectsBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSuspectsUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsUnauthorizedResponseBody(res *goa.ServiceError) *SuspectsUnauthorizedResponseBody {
+	body := &SuspectsUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSuspectsForbiddenResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsForbiddenResponseBody(res *goa.ServiceError) *SuspectsForbiddenResponseBody {
+	body := &SuspectsForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSuspectsNotFoundResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsNotFoundResponseBody(res *goa.ServiceError) *SuspectsNotFoundResponseBody {
+	body := &SuspectsNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSuspectsConflictResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsConflictResponseBody(res *goa.ServiceError) *SuspectsConflictResponseBody {
+	body := &SuspectsConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSuspectsTamperedResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsTamperedResponseBody(res *goa.ServiceError) *SuspectsTamperedResponseBody {
+	body := &SuspectsTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSuspectsUnavailableResponseBody builds the HTTP response body from the
+// result of the "suspects" endpoint of the "operators" service.
+func NewSuspectsUnavailableResponseBody(res *goa.ServiceError) *SuspectsUnavailableResponseBody {
+	body := &SuspectsUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftBadRequestResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "operators" service.
+func NewLiftBadRequestResponseBody(res *goa.ServiceError) *LiftBadRequestResponseBody {
+	body := &LiftBadRequestResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "lift" endpoint of the "operators" service.
+func NewLiftUnauthorizedResponseBody(res *goa.ServiceError) *LiftUnauthorizedResponseBody {
+	body := &LiftUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftForbiddenResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "operators" service.
+func NewLiftForbiddenResponseBody(res *goa.ServiceError) *LiftForbiddenResponseBody {
+	body := &LiftForbiddenResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftNotFoundResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "operators" service.
+func NewLiftNotFoundResponseBody(res *goa.ServiceError) *LiftNotFoundResponseBody {
+	body := &LiftNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftConflictResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "operators" service.
+func NewLiftConflictResponseBody(res *goa.ServiceError) *LiftConflictResponseBody {
+	body := &LiftConflictResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftTamperedResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "operators" service.
+func NewLiftTamperedResponseBody(res *goa.ServiceError) *LiftTamperedResponseBody {
+	body := &LiftTamperedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewLiftUnavailableResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "operators" service.
+func NewLiftUnavailableResponseBody(res *goa.ServiceError) *LiftUnavailableResponseBody {
+	body := &LiftUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewRecordsBadRequestResponseBody builds the HTTP response body from the
 // result of the "records" endpoint of the "operators" service.
 func NewRecordsBadRequestResponseBody(res *goa.ServiceError) *RecordsBadRequestResponseBody {
@@ -2594,6 +3080,26 @@
 	return v
 }
 
+// NewSuspectsPayload builds a operators service suspects endpoint payload.
+func NewSuspectsPayload(key string) *operators.SuspectsPayload {
+	v := &operators.SuspectsPayload{}
+	v.Key = key
+
+	return v
+}
+
+// NewLiftPayload builds a operators service lift endpoint payload.
+func NewLiftPayload(body *LiftRequestBody, fingerprint string, key string) *operators.LiftPayload {
+	v := &operators.LiftPayload{
+		Operator: *body.Operator,
+		Reason:   *body.Reason,
+	}
+	v.Fingerprint = fingerprint
+	v.Key = key
+
+	return v
+}
+
 // NewRecordsPayload builds a operators service records endpoint payload.
 func NewRecordsPayload(kind *string, name *string, revision uint64, variants bool, key string) *operators.RecordsPayload {
 	v := &operators.RecordsPayload{}
@@ -2775,6 +3281,37 @@
 	return
 }
 
+// ValidateLiftRequestBody runs the validations defined on LiftRequestBody
+func ValidateLiftRequestBody(body *LiftRequestBody) (err error) {
+	if body.Operator == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operator", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 1, true))
+		}
+	}
+	if body.Operator != nil {
+		if utf8.RuneCountInString(*body.Operator) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", *body.Operator, utf8.RuneCountInString(*body.Operator), 128, false))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1, true))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1000, false))
+		}
+	}
+	return
+}
+
 // ValidateRecordFileRequestBody runs the validations defined on
 // RecordFileRequestBody
 func ValidateRecordFileRequestBody(body *RecordFileRequestBody) (err error) {
--- a/router/gen/operators/client.go
+++ b/router/gen/operators/client.go
@@ -18,6 +18,8 @@
 	ApplyEndpoint    goa.Endpoint
 	RollbackEndpoint goa.Endpoint
 	DrainEndpoint    goa.Endpoint
+	SuspectsEndpoint goa.Endpoint
+	LiftEndpoint     goa.Endpoint
 	RecordsEndpoint  goa.Endpoint
 	HistoryEndpoint  goa.Endpoint
 	VerifyEndpoint   goa.Endpoint
@@ -27,11 +29,13 @@
 }
 
 // NewClient initializes a "operators" service client given the endpoints.
-func NewClient(apply, rollback, drain, records, history, verify, explain, whyNot, status goa.Endpoint) *Client {
+func NewClient(apply, rollback, drain, suspects, lift, records, history, verify, explain, whyNot, status goa.Endpoint) *Client {
 	return &Client{
 		ApplyEndpoint:    apply,
 		RollbackEndpoint: rollback,
 		DrainEndpoint:    drain,
+		SuspectsEndpoint: suspects,
+		LiftEndpoint:     lift,
 		RecordsEndpoint:  records,
 		HistoryEndpoint:  history,
 		VerifyEndpoint:   verify,
@@ -98,6 +102,40 @@
 	return ires.(*Applied), nil
 }
 
+// Suspects calls the "suspects" endpoint of the "operators" service.
+// Suspects may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Suspects(ctx context.Context, p *SuspectsPayload) (res []*Suspect, err error) {
+	var ires any
+	ires, err = c.SuspectsEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.([]*Suspect), nil
+}
+
+// Lift calls the "lift" endpoint of the "operators" service.
+// Lift may return the following errors:
+//   - "bad_request" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError)
+//   - "forbidden" (type *goa.ServiceError)
+//   - "not_found" (type *goa.ServiceError)
+//   - "conflict" (type *goa.ServiceError)
+//   - "tampered" (type *goa.ServiceError)
+//   - "unavailable" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Lift(ctx context.Context, p *LiftPayload) (err error) {
+	_, err = c.LiftEndpoint(ctx, p)
+	return
+}
+
 // Records calls the "records" endpoint of the "operators" service.
 // Records may return the following errors:
 //   - "bad_request" (type *goa.ServiceError)
--- a/router/gen/operators/endpoints.go
+++ b/router/gen/operators/endpoints.go
@@ -19,6 +19,8 @@
 	Apply    goa.Endpoint
 	Rollback goa.Endpoint
 	Drain    goa.Endpoint
+	Suspects goa.Endpoint
+	Lift     goa.Endpoint
 	Records  goa.Endpoint
 	History  goa.Endpoint
 	Verify   goa.Endpoint
@@ -35,6 +37,8 @@
 		Apply:    NewApplyEndpoint(s, a.APIKeyAuth),
 		Rollback: NewRollbackEndpoint(s, a.APIKeyAuth),
 		Drain:    NewDrainEndpoint(s, a.APIKeyAuth),
+		Suspects: NewSuspectsEndpoint(s, a.APIKeyAuth),
+		Lift:     NewLiftEndpoint(s, a.APIKeyAuth),
 		Records:  NewRecordsEndpoint(s, a.APIKeyAuth),
 		History:  NewHistoryEndpoint(s, a.APIKeyAuth),
 		Verify:   NewVerifyEndpoint(s, a.APIKeyAuth),
@@ -49,6 +53,8 @@
 	e.Apply = m(e.Apply)
 	e.Rollback = m(e.Rollback)
 	e.Drain = m(e.Drain)
+	e.Suspects = m(e.Suspects)
+	e.Lift = m(e.Lift)
 	e.Records = m(e.Records)
 	e.History = m(e.History)
 	e.Verify = m(e.Verify)
@@ -114,6 +120,44 @@
 	}
 }
 
+// NewSuspectsEndpoint returns an endpoint function that calls the method
+// "suspects" of service "operators".
+func NewSuspectsEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*SuspectsPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Suspects(ctx, p)
+	}
+}
+
+// NewLiftEndpoint returns an endpoint function that calls the method "lift" of
+// service "operators".
+func NewLiftEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*LiftPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authAPIKeyFn(ctx, p.Key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return nil, s.Lift(ctx, p)
+	}
+}
+
 // NewRecordsEndpoint returns an endpoint function that calls the method
 // "records" of service "operators".
 func NewRecordsEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
--- a/router/gen/operators/service.go
+++ b/router/gen/operators/service.go
@@ -22,6 +22,10 @@
 	Rollback(context.Context, *RollbackPayload) (res *Applied, err error)
 	// Starts or ends the draining of a backend server by its record.
 	Drain(context.Context, *DrainPayload) (res *Applied, err error)
+	// Lists requests that were running when a backend server crashed.
+	Suspects(context.Context, *SuspectsPayload) (res []*Suspect, err error)
+	// Drops the strikes of a request, so that it may run again.
+	Lift(context.Context, *LiftPayload) (err error)
 	// Records implements records.
 	Records(context.Context, *RecordsPayload) (res *HeldRecords, err error)
 	// Returns the newest entries of the audit trail.
@@ -56,7 +60,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [9]string{"apply", "rollback", "drain", "records", "history", "verify", "explain", "why_not", "status"}
+var MethodNames = [11]string{"apply", "rollback", "drain", "suspects", "lift", "records", "history", "verify", "explain", "why_not", "status"}
 
 // Applied is the result type of the operators service apply method.
 type Applied struct {
@@ -221,6 +225,17 @@
 	Limit  int
 }
 
+// LiftPayload is the payload type of the operators service lift method.
+type LiftPayload struct {
+	// Key of a team of operators.
+	Key         string
+	Fingerprint string
+	// Who lifts it.
+	Operator string
+	// Why.
+	Reason string
+}
+
 type RecordChange struct {
 	// Kind and name.
 	Record string
@@ -292,6 +307,22 @@
 	Key string
 }
 
+type Suspect struct {
+	// Identifies the request's team and content.
+	Fingerprint string
+	Team        string
+	// Backend servers that were lost, with their incarnations.
+	Crashes []string
+	// Whether the request runs no more.
+	Quarantined bool
+}
+
+// SuspectsPayload is the payload type of the operators service suspects method.
+type SuspectsPayload struct {
+	// Key of a team of operators.
+	Key string
+}
+
 // VerifyPayload is the payload type of the operators service verify method.
 type VerifyPayload struct {
 	// Key of a team of operators.
