Tell unknown, not not-run, while the ledger's table is out

Cause: a retry of a request that had run was told not-run when the table was out; its caller could order again under a new key. The ledger's model left this one reason out of its check by key. Change: ledger-unavailable says unknown, and the model's check has no exception. Ruled out: not-run where the row had been read before the write was refused; the model's check counts runs up to the last call of the table, which is that write. Figures: the model passes without the exception.

--- a/core/amrledger/failure.go
+++ b/core/amrledger/failure.go
@@ -119,7 +119,7 @@
 
 func ledgerUnavailable() Refused {
 	return Refused{
-		Reason: amrreason.LedgerUnavailable, Ran: amrreason.NotRun, RetryAfter: DefaultRetryAfter,
+		Reason: amrreason.LedgerUnavailable, Ran: amrreason.Unknown, RetryAfter: DefaultRetryAfter,
 		Detail: "this request was not run; whether an earlier one with its key ran cannot be told now",
 	}
 }
--- a/core/amrledger/model_test.go
+++ b/core/amrledger/model_test.go
@@ -233,7 +233,7 @@
 		return errors.New("internal error")
 	case end.Ran == amrreason.NotRun && own:
 		return errors.New("told not-run, but it ran")
-	case end.Ran == amrreason.NotRun && end.Reason != amrreason.LedgerUnavailable && c.runsAtOp > 0:
+	case end.Ran == amrreason.NotRun && c.runsAtOp > 0:
 		return errors.New("told not-run of a key that had run")
 	case end.Ran == amrreason.DidRun && len(w.runs) == 0:
 		return errors.New("told ran, but it did not")
--- a/core/amrreason/reason.go
+++ b/core/amrreason/reason.go
@@ -77,7 +77,7 @@
 	{Quarantined, NotRun, http.StatusUnprocessableEntity, "The request was running on two backend servers when they crashed.", "Change the request, or ask an operator to lift the quarantine."},
 	{KeyRequired, NotRun, http.StatusBadRequest, "A non-idempotent request needs an idempotency key.", "Send it with an Idempotency-Key header."},
 	{KeyReused, NotRun, http.StatusConflict, "The idempotency key was used for another request.", "Use a new key for a new request."},
-	{LedgerUnavailable, NotRun, http.StatusServiceUnavailable, "The table service that keeps non-idempotent work from running twice is out.", "Send it again with the same key after the time in Retry-After."},
+	{LedgerUnavailable, Unknown, http.StatusServiceUnavailable, "The table service that keeps non-idempotent work from running twice is out.", "Send it again with the same key after the time in Retry-After."},
 	{OutcomeUnknown, Unknown, http.StatusConflict, "Whether the request ran cannot be told now.", "Ask again with the same key; it will not run a second time."},
 	{WrongIncarnation, NotRun, http.StatusServiceUnavailable, "The sidecar restarted since the request was meant for it.", "Send it again."},
 	{ClaimExpired, NotRun, http.StatusServiceUnavailable, "The time to start the request passed before it reached its backend server.", "Send it again with the same key."},
