--- a/standin/main.go
+++ b/standin/main.go
@@ -3,14 +3,11 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"amaranthreach.example/core/amrprogram"
 	"amaranthreach.example/standin/amrdemo"
 	"amaranthreach.example/standin/amrload"
 	"amaranthreach.example/standin/amrreplay"
@@ -18,25 +15,13 @@
 )
 
 func main() {
-	os.Exit(run())
-}
-
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return 0
+	os.Exit(amrprogram.Main(command()))
 }
 
 func command() *cobra.Command {
 	c := &cobra.Command{
-		Use:           "standin",
-		Short:         "Run stand-ins of the systems around the router",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:   "standin",
+		Short: "Run stand-ins of the systems around the router",
 	}
 	c.AddCommand(demoCommand(), serveCommand(), slopesCommand(), amrreplay.Command(), amrreplay.SoakCommand(), amrload.Command(), amrtrace.Command())
 	return c
