Keep a router's learned keys and load reports within its budget

Cause: at full size seven placers of 65,536 keys and the other state came to 262 MB with room for the collector, and full loads on first and last replies to about 5 KB/s of a budget of 3. Change: 16,384 keys a placer; the last reply carries a load only when one is due or the sidecar is not ready; a sidecar's incarnation has 12 characters in place of 36.

--- a/core/amrplace/placer.go
+++ b/core/amrplace/placer.go
@@ -18,7 +18,7 @@
 
 const (
 	// DefaultKeys is the number of block keys whose holders are remembered.
-	DefaultKeys = 1 << 16
+	DefaultKeys = 1 << 14
 
 	// wholeView is the number of backend servers up to which each is a
 	// candidate.
--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -310,7 +310,7 @@
 		a.claim.finished(end)
 	}
 	a.gate.metrics.attempts.WithLabelValues("finished", "").Inc()
-	return a.send(&amrgate.DispatchReply{
+	reply := &amrgate.DispatchReply{
 		Event: &amrgate.DispatchReply_End{End: &amrgate.End{
 			Attempt:          a.request.GetAttempt(),
 			Chunks:           a.sequence,
@@ -322,8 +322,11 @@
 			Status:           int32(end.status),
 			ContentType:      end.contentType,
 		}},
-		Load: a.load(),
-	})
+	}
+	if a.gate.loadDue(a.request) || !a.gate.ready() {
+		reply.Load = a.load()
+	}
+	return a.send(reply)
 }
 
 func (a *attempt) decline(reason amrreason.Code, t *ticket) error {
@@ -358,7 +361,6 @@
 	})
 }
 
-// send sends a reply. A claim goes on when its router is gone.
 // loadDue reports whether the dispatching router is to hear the load again.
 func (g *gate) loadDue(request *amrgate.DispatchRequest) bool {
 	interval := time.Duration(request.GetReportIntervalMs()) * time.Millisecond
@@ -394,6 +396,7 @@
 	return load
 }
 
+// send sends a reply. A claim goes on when its router is gone.
 func (a *attempt) send(reply *amrgate.DispatchReply) error {
 	err := a.stream.Send(reply)
 	if a.claim != nil {
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/base64"
 	"errors"
 	"log/slog"
 	"net"
@@ -80,7 +81,7 @@
 		settings:    settings,
 		clock:       clockwork.NewRealClock(),
 		log:         slog.Default(),
-		incarnation: uuid.NewString(),
+		incarnation: newIncarnation(),
 		registry:    prometheus.NewRegistry(),
 		orderSettle: orderTimeout,
 	}
@@ -93,6 +94,13 @@
 	return s
 }
 
+// newIncarnation returns an identity of 66 random bits. It rides on every first
+// reply, so it is short.
+func newIncarnation() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:9])
+}
+
 // Run runs a sidecar until ctx is done and its requests in progress have
 // finished.
 func Run(ctx context.Context, settings Settings, options ...Option) error {
--- a/standin/amrslopes/router.go
+++ b/standin/amrslopes/router.go
@@ -119,7 +119,7 @@
 	return float64(took.Nanoseconds()) / loopLength, nil
 }
 
-func placer(size int) *amrplace.Placer {
+func placer(size int, options ...amrplace.Option) *amrplace.Placer {
 	view := make([]amrplace.Member, size)
 	for i := range view {
 		view[i] = amrplace.Member{
@@ -128,7 +128,7 @@
 			EngineIncarnation: "ff4ae39f6bb44fb8",
 		}
 	}
-	p := amrplace.New(amrplace.WithSeed(seed))
+	p := amrplace.New(append(options, amrplace.WithSeed(seed))...)
 	p.SetView(amrplace.NewView(view))
 	return p
 }
@@ -168,7 +168,7 @@
 func placerMemory(m *meter, size int) (float64, error) {
 	const servers = 1714
 	return m.memory(func() any {
-		p := placer(servers)
+		p := placer(servers, amrplace.WithKeys(size))
 		random := rand.New(rand.NewPCG(seed, seed))
 		policy := amrrecord.RoutingPolicy{Policy: amrrecord.PolicyCacheAware, RecomputeWeight: 1, WaitWeight: 1}
 		now := time.Unix(1, 0)
--- a/standin/amrslopes/sidecar.go
+++ b/standin/amrslopes/sidecar.go
@@ -61,7 +61,7 @@
 // wire.
 func loadBytes(_ *meter, size int) (float64, error) {
 	load := &amrgate.Load{
-		SidecarIncarnation:     "6f1f8ad2-66b2-4c0c-9f9a-0d5c8f8b0001",
+		SidecarIncarnation:     "b0vK0mayTAyf",
 		EngineIncarnation:      "ff4ae39f6bb44fb8",
 		Running:                24,
 		Queued:                 3,
