--- a/core/amrconfig/core.go
+++ b/core/amrconfig/core.go
@@ -281,7 +281,7 @@
 		}
 	}
 	var actions []Action
-	for _, some := range [][]Peer{routers, Keepers(c.peers, c.zone)} {
+	for _, some := range [][]Peer{routers, SnapshotHolders(c.peers, c.zone)} {
 		for _, p := range some[:min(snapshotSources/2, len(some))] {
 			c.snapshots++
 			actions = append(actions, TakeSnapshot{From: p})
--- a/core/amrconfig/readers.go
+++ b/core/amrconfig/readers.go
@@ -17,7 +17,7 @@
 
 	// Sidecars in each availability zone that hold a snapshot for routers that
 	// start while the store is down and no router has the records.
-	keepersPerZone = 2
+	snapshotHoldersPerZone = 2
 
 	// Time after which other routers take over as readers.
 	slotLength = time.Minute
@@ -58,9 +58,9 @@
 	return all
 }
 
-// Keepers returns the sidecars of the availability zone that hold a snapshot of
+// SnapshotHolders returns the sidecars of the availability zone that hold a snapshot of
 // the records. They stay the same while the sidecars do.
-func Keepers(peers []Peer, zone string) []Peer {
+func SnapshotHolders(peers []Peer, zone string) []Peer {
 	var all []candidate
 	for _, p := range peers {
 		if p.Sidecar && p.AvailabilityZone == zone {
@@ -68,11 +68,11 @@
 		}
 	}
 	slices.SortFunc(all, byScore)
-	keepers := make([]Peer, 0, keepersPerZone)
-	for _, c := range all[:min(keepersPerZone, len(all))] {
-		keepers = append(keepers, c.Peer)
+	holders := make([]Peer, 0, snapshotHoldersPerZone)
+	for _, c := range all[:min(snapshotHoldersPerZone, len(all))] {
+		holders = append(holders, c.Peer)
 	}
-	return keepers
+	return holders
 }
 
 func byScore(a, b candidate) int {
--- a/core/amrplace/holders.go
+++ b/core/amrplace/holders.go
@@ -124,7 +124,7 @@
 	}
 	s.settle(c)
 	p.report(now, s, l)
-	if promised := c.home - float64(c.learned); promised > 0 {
+	if promised := c.hashed - float64(c.learned); promised > 0 {
 		kept := float64(cachedTokens/amrprompt.TokensPerBlock-c.learned) / promised
 		p.trust += trustSmoothing * (min(max(kept, 0), 1) - p.trust)
 	}
--- a/core/amrplace/load.go
+++ b/core/amrplace/load.go
@@ -51,7 +51,7 @@
 
 	mark    uint64 // The decision that the next fields belong to.
 	learned int
-	home    float64
+	hashed  float64
 	source  Source
 }
 
--- a/core/amrplace/place.go
+++ b/core/amrplace/place.go
@@ -102,7 +102,7 @@
 	if s.mark == p.decisions {
 		return false
 	}
-	s.mark, s.source, s.learned, s.home = p.decisions, source, 0, 0
+	s.mark, s.source, s.learned, s.hashed = p.decisions, source, 0, 0
 	p.scratch = append(p.scratch, s)
 	return true
 }
@@ -143,7 +143,7 @@
 	}
 	s := p.servers[position]
 	p.mark(s, SourceHash)
-	s.home = max(s.home, promise)
+	s.hashed = max(s.hashed, promise)
 }
 
 // hashedDepth reports whether keys at the depth are hashed: at 1, 2, 3, 4, 6,
@@ -170,8 +170,8 @@
 
 func (p *Placer) candidate(now time.Time, r Request, s *server) Candidate {
 	blocks := float64(s.learned)
-	if s.home > blocks {
-		blocks += p.trust * (s.home - blocks)
+	if s.hashed > blocks {
+		blocks += p.trust * (s.hashed - blocks)
 	}
 	cached := min(int(blocks*amrprompt.TokensPerBlock), r.PromptTokens)
 	c := Candidate{
@@ -182,12 +182,12 @@
 		UncachedTokens: r.PromptTokens - cached,
 		dispatched:     s.dispatched,
 		learned:        s.learned,
-		home:           s.home,
+		hashed:         s.hashed,
 	}
 	for _, k := range r.Known {
 		if k.Name == s.name {
 			c.Wait, c.CachedTokens, c.UncachedTokens = k.Wait, k.CachedTokens, r.PromptTokens-k.CachedTokens
-			c.learned, c.home = 0, 0
+			c.learned, c.hashed = 0, 0
 		}
 	}
 	c.Cost = p.cost(r.Policy, s, c)
--- a/core/amrplace/placer.go
+++ b/core/amrplace/placer.go
@@ -145,7 +145,7 @@
 	dispatched uint64 // Decision that last sent it work.
 
 	learned int     // Blocks known to be cached.
-	home    float64 // Blocks promised by hashing.
+	hashed  float64 // Blocks promised by hashing.
 }
 
 // Source says why a backend server is a candidate.
--- a/core/amrprogram/program.go
+++ b/core/amrprogram/program.go
@@ -29,9 +29,9 @@
 	return 0
 }
 
-// Daemon returns the command of a program that reads its settings from a file
+// Server returns the command of a program that reads its settings from a file
 // and runs until its context ends. The settings start as given.
-func Daemon[S any, P interface {
+func Server[S any, P interface {
 	*S
 	amrsettings.Checker
 }](name, short string, settings S, run func(context.Context, S) error) *cobra.Command {
--- a/router/amrrouter/keep.go
+++ b/router/amrrouter/keep.go
@@ -27,26 +27,26 @@
 			clear(kept) // A sidecar may restart meanwhile.
 			continue
 		}
-		for _, keeper := range amrconfig.Keepers(r.hosts.all(), r.settings.AvailabilityZone) {
-			if kept[keeper.Name] >= r.Revision() {
+		for _, holder := range amrconfig.SnapshotHolders(r.hosts.all(), r.settings.AvailabilityZone) {
+			if kept[holder.Name] >= r.Revision() {
 				continue
 			}
-			held, err := r.keep(ctx, keeper)
+			held, err := r.keep(ctx, holder)
 			if err != nil {
-				r.log.Debug("snapshot-not-kept", "sidecar", keeper.Name, "error", err)
+				r.log.Debug("snapshot-not-kept", "sidecar", holder.Name, "error", err)
 				continue
 			}
-			kept[keeper.Name] = held
+			kept[holder.Name] = held
 		}
 	}
 }
 
 // keep sends the sidecar what is above the revision that it holds, and returns
 // the revision that it holds then.
-func (r *Router) keep(ctx context.Context, keeper amrconfig.Peer) (uint64, error) {
+func (r *Router) keep(ctx context.Context, holder amrconfig.Peer) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	client := r.gates.client(ctx, keeper.Address)
+	client := r.gates.client(ctx, holder.Address)
 	held, err := client.Keep(ctx, &amrgate.KeepRequest{})
 	if err != nil || held.GetRevision() >= r.Revision() {
 		return held.GetRevision(), err
--- a/router/main.go
+++ b/router/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	os.Exit(amrprogram.Main(amrprogram.Daemon(
+	os.Exit(amrprogram.Main(amrprogram.Server(
 		"amr-router",
 		"Route requests of callers to backend servers",
 		amrrouter.DefaultSettings(),
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	os.Exit(amrprogram.Main(amrprogram.Daemon(
+	os.Exit(amrprogram.Main(amrprogram.Server(
 		"amr-sidecar",
 		"Run beside a backend server and admit its work",
 		amrsidecar.DefaultSettings(),
