--- a/amrctl/amrcommand/view.go
+++ b/amrctl/amrcommand/view.go
@@ -88,6 +88,8 @@
 	Revision       uint64              `json:"revision"`
 	Routers        []routerView        `json:"routers"`
 	BackendServers []backendServerView `json:"backend-servers"`
+	Struck         int                 `json:"struck"` // -1 when the table did not answer.
+	Quarantined    int                 `json:"quarantined"`
 	ExplainPending int                 `json:"explain-pending"`
 	ExplainDropped uint64              `json:"explain-dropped"`
 }
@@ -131,7 +133,7 @@
 }
 
 func statusOf(s *operators.FleetStatus) statusView {
-	view := statusView{Revision: s.Revision, ExplainPending: s.ExplainPending, ExplainDropped: s.ExplainDropped}
+	view := statusView{Revision: s.Revision, Struck: s.Struck, Quarantined: s.Quarantined, ExplainPending: s.ExplainPending, ExplainDropped: s.ExplainDropped}
 	for _, r := range s.Routers {
 		view.Routers = append(view.Routers, routerView{r.Name, r.AvailabilityZone, r.Ready, r.Revision, valueOf(r.Age), valueOf(r.Error)})
 	}
@@ -143,7 +145,12 @@
 }
 
 func (v statusView) table(w io.Writer) {
-	fmt.Fprintf(w, "revision %d; %d decisions not yet stored, %d dropped\n\n", v.Revision, v.ExplainPending, v.ExplainDropped)
+	fmt.Fprintf(w, "revision %d; %d decisions not yet stored, %d dropped\n", v.Revision, v.ExplainPending, v.ExplainDropped)
+	if v.Struck < 0 {
+		fmt.Fprint(w, "struck requests not known, the table does not answer\n\n")
+	} else {
+		fmt.Fprintf(w, "%d struck requests, %d of them in quarantine\n\n", v.Struck, v.Quarantined)
+	}
 	fmt.Fprintln(w, "ROUTER\tZONE\tREADY\tREVISION\tAGE\tERROR")
 	for _, r := range v.Routers {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%s\t%s\n", r.Name, r.AvailabilityZone, r.Ready, r.Revision, r.Age, r.Error)
--- a/router/amrrouter/operator_status.go
+++ b/router/amrrouter/operator_status.go
@@ -23,7 +23,10 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	set := r.follower.Current()
+	struck, quarantined := s.countSuspects(ctx)
 	return &operators.FleetStatus{
+		Struck:         struck,
+		Quarantined:    quarantined,
 		Revision:       set.Revision(),
 		Routers:        s.routers(ctx),
 		BackendServers: s.backendServers(ctx, set),
@@ -32,6 +35,21 @@
 	}, nil
 }
 
+// countSuspects returns how many requests are struck, and how many of them are
+// in quarantine; -1 and 0 when the table does not answer.
+func (s *operatorsService) countSuspects(ctx context.Context) (struck, quarantined int) {
+	listed, err := s.router.suspects.store.List(ctx)
+	if err != nil {
+		return -1, 0
+	}
+	for _, suspect := range listed {
+		if suspect.Quarantined() {
+			quarantined++
+		}
+	}
+	return len(listed), quarantined
+}
+
 // routers asks each live router for its state.
 func (s *operatorsService) routers(ctx context.Context) []*operators.RouterStatus {
 	own, _ := (&peerServer{router: s.router}).State(ctx, nil) // It returns no error.
--- a/router/design/operators.go
+++ b/router/design/operators.go
@@ -125,7 +125,9 @@
 	Attribute("backend_servers", ArrayOf(backendServerStatus))
 	Attribute("explain_pending", Int, "Decisions not yet in the object store.")
 	Attribute("explain_dropped", UInt64, "Decisions dropped because the object store did not take them.")
-	Required("revision", "routers", "backend_servers", "explain_pending", "explain_dropped")
+	Attribute("struck", Int, "Requests that were running when a backend server crashed; -1 when the table does not answer.")
+	Attribute("quarantined", Int, "Those of them that run no more.")
+	Required("revision", "routers", "backend_servers", "explain_pending", "explain_dropped", "struck", "quarantined")
 })
 
 func operatorKey() {
--- a/router/gen/http/callers/client/cli.go
+++ b/router/gen/http/callers/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(callersChatBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": true,\n      \"max_tokens\": 46833,\n      \"messages\": [\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         },\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         }\n      ],\n      \"model\": \"6om\",\n      \"stream\": false\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": true,\n      \"max_tokens\": 12716,\n      \"messages\": [\n         {\n            \"content\": \"Nobis temporibus enim ut error porro dolor.\",\n            \"role\": \"qhs\"\n         }\n      ],\n      \"model\": \"m7t\",\n      \"stream\": true\n   }'")
 		}
 		if body.Messages == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("messages", "body"))
@@ -150,7 +150,7 @@
 	{
 		err = json.Unmarshal([]byte(callersCompleteBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": true,\n      \"max_tokens\": 62226,\n      \"model\": \"da1\",\n      \"prompt\": \"Eum reprehenderit aut sunt ad quis.\",\n      \"stream\": false\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"idempotent\": false,\n      \"max_tokens\": 59748,\n      \"model\": \"xsr\",\n      \"prompt\": \"Cum velit aut in recusandae pariatur expedita.\",\n      \"stream\": true\n   }'")
 		}
 		if utf8.RuneCountInString(body.Model) > 128 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.model", body.Model, utf8.RuneCountInString(body.Model), 128, false))
--- a/router/gen/http/cli/router/cli.go
+++ b/router/gen/http/cli/router/cli.go
@@ -31,8 +31,8 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 46833,\n      \"messages\": [\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         },\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         }\n      ],\n      \"model\": \"6om\",\n      \"stream\": false\n   }' --key \"Error porro dolor veritatis consequuntur.\" --idempotency-key \"8se\" --timeout \"Quo impedit est.\" --traffic-priority 2" + "\n" +
-		os.Args[0] + " " + "operators apply --body '{\n      \"base\": 10968442573000220139,\n      \"delete\": [\n         \"Aut iure placeat eligendi id.\",\n         \"Sequi qui necessitatibus ut aut.\",\n         \"Id dolorem voluptatem nostrum.\"\n      ],\n      \"dry_run\": true,\n      \"files\": [\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         },\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         }\n      ],\n      \"operator\": \"cet\",\n      \"reason\": \"v\",\n      \"token\": \"9d3\"\n   }' --key \"Atque voluptatibus itaque.\"" + "\n" +
+	return os.Args[0] + " " + "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 12716,\n      \"messages\": [\n         {\n            \"content\": \"Nobis temporibus enim ut error porro dolor.\",\n            \"role\": \"qhs\"\n         }\n      ],\n      \"model\": \"m7t\",\n      \"stream\": true\n   }' --key \"Consequuntur debitis voluptate tempora velit.\" --idempotency-key \"uwv\" --timeout \"Temporibus ab.\" --traffic-priority 6" + "\n" +
+		os.Args[0] + " " + "operators apply --body '{\n      \"base\": 8945896784786584545,\n      \"delete\": [\n         \"Placeat eligendi id in sequi.\",\n         \"Necessitatibus ut.\",\n         \"Est id dolorem voluptatem nostrum.\",\n         \"Atque voluptatibus itaque.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         },\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         },\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         }\n      ],\n      \"operator\": \"trv\",\n      \"reason\": \"9\",\n      \"token\": \"3va\"\n   }' --key \"Aperiam molestias.\"" + "\n" +
 		""
 }
 
@@ -346,7 +346,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 46833,\n      \"messages\": [\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         },\n         {\n            \"content\": \"Qui necessitatibus nobis temporibus enim.\",\n            \"role\": \"fhq\"\n         }\n      ],\n      \"model\": \"6om\",\n      \"stream\": false\n   }' --key \"Error porro dolor veritatis consequuntur.\" --idempotency-key \"8se\" --timeout \"Quo impedit est.\" --traffic-priority 2")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 12716,\n      \"messages\": [\n         {\n            \"content\": \"Nobis temporibus enim ut error porro dolor.\",\n            \"role\": \"qhs\"\n         }\n      ],\n      \"model\": \"m7t\",\n      \"stream\": true\n   }' --key \"Consequuntur debitis voluptate tempora velit.\" --idempotency-key \"uwv\" --timeout \"Temporibus ab.\" --traffic-priority 6")
 }
 
 func callersCompleteUsage() {
@@ -372,7 +372,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": true,\n      \"max_tokens\": 62226,\n      \"model\": \"da1\",\n      \"prompt\": \"Eum reprehenderit aut sunt ad quis.\",\n      \"stream\": false\n   }' --key \"Et sequi.\" --idempotency-key \"srm\" --timeout \"A aut cum velit aut in.\" --traffic-priority 5")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"idempotent\": false,\n      \"max_tokens\": 59748,\n      \"model\": \"xsr\",\n      \"prompt\": \"Cum velit aut in recusandae pariatur expedita.\",\n      \"stream\": true\n   }' --key \"Expedita blanditiis nihil qui sed.\" --idempotency-key \"x9f\" --timeout \"Fugiat dolor facere dolores placeat.\" --traffic-priority 6")
 }
 
 func callersCallUsage() {
@@ -404,7 +404,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Maxime ut sit magni amet.\" --path \"Inventore voluptatem qui ex necessitatibus dicta.\" --key \"Maxime ducimus cumque ut aut.\" --idempotency-key \"vdo\" --timeout \"Mollitia qui ullam corrupti iste aut.\" --traffic-priority 1 --content-type \"Reiciendis quia minus earum.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --deployment \"Ipsum maxime ducimus cumque ut.\" --path \"Sed laudantium.\" --key \"Corrupti illo mollitia.\" --idempotency-key \"pgf\" --timeout \"Veniam debitis reiciendis quia.\" --traffic-priority 0 --content-type \"Labore repudiandae ut iste nemo.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -445,7 +445,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply --body '{\n      \"base\": 10968442573000220139,\n      \"delete\": [\n         \"Aut iure placeat eligendi id.\",\n         \"Sequi qui necessitatibus ut aut.\",\n         \"Id dolorem voluptatem nostrum.\"\n      ],\n      \"dry_run\": true,\n      \"files\": [\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         },\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         }\n      ],\n      \"operator\": \"cet\",\n      \"reason\": \"v\",\n      \"token\": \"9d3\"\n   }' --key \"Atque voluptatibus itaque.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply --body '{\n      \"base\": 8945896784786584545,\n      \"delete\": [\n         \"Placeat eligendi id in sequi.\",\n         \"Necessitatibus ut.\",\n         \"Est id dolorem voluptatem nostrum.\",\n         \"Atque voluptatibus itaque.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         },\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         },\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         }\n      ],\n      \"operator\": \"trv\",\n      \"reason\": \"9\",\n      \"token\": \"3va\"\n   }' --key \"Aperiam molestias.\"")
 }
 
 func operatorsRollbackUsage() {
@@ -465,7 +465,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback --body '{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"9\",\n      \"reason\": \"1\",\n      \"revision\": 10535304478529585354,\n      \"token\": \"6lo\"\n   }' --key \"Pariatur beatae optio distinctio et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback --body '{\n      \"base\": 12082778672548281431,\n      \"dry_run\": true,\n      \"operator\": \"l6\",\n      \"reason\": \"o\",\n      \"revision\": 13237100945546989196,\n      \"token\": \"h6f\"\n   }' --key \"Et consequuntur rerum nulla quo assumenda harum.\"")
 }
 
 func operatorsDrainUsage() {
@@ -487,7 +487,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators drain --body '{\n      \"base\": 9924249077467467422,\n      \"dry_run\": true,\n      \"operator\": \"553\",\n      \"reason\": \"s\",\n      \"token\": \"9rx\",\n      \"undo\": false\n   }' --name \"Tempore voluptas quasi aut dolores mollitia.\" --key \"Unde dolore in corrupti.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators drain --body '{\n      \"base\": 18071354055974592033,\n      \"dry_run\": true,\n      \"operator\": \"x\",\n      \"reason\": \"4\",\n      \"token\": \"k6r\",\n      \"undo\": true\n   }' --name \"Quis unde dolore in corrupti at.\" --key \"Qui possimus et ut.\"")
 }
 
 func operatorsSuspectsUsage() {
@@ -505,7 +505,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators suspects --key \"Sit quia minima perspiciatis eos sunt.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators suspects --key \"Cumque aliquid nobis.\"")
 }
 
 func operatorsLiftUsage() {
@@ -527,7 +527,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators lift --body '{\n      \"operator\": \"t\",\n      \"reason\": \"gv4\"\n   }' --fingerprint \"z9c\" --key \"Iure corporis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators lift --body '{\n      \"operator\": \"c\",\n      \"reason\": \"4pl\"\n   }' --fingerprint \"2gv\" --key \"Dolor ut ut consequatur culpa.\"")
 }
 
 func operatorsRecordsUsage() {
@@ -553,7 +553,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators records --kind \"Non ea laudantium odit suscipit beatae veritatis.\" --name \"Quidem reprehenderit magni nesciunt aut velit.\" --revision 10391812764910517674 --variants true --key \"Molestiae sit aut enim.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators records --kind \"Qui enim non.\" --name \"Laudantium odit suscipit beatae veritatis non.\" --revision 524759004664239003 --variants true --key \"Nesciunt aut velit corrupti maxime ut molestiae.\"")
 }
 
 func operatorsHistoryUsage() {
@@ -577,7 +577,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators history --record \"Molestiae quo aut natus veniam necessitatibus.\" --before 1668583588107485943 --limit 507 --key \"Sunt aut dolor saepe.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators history --record \"Sunt culpa est consequatur.\" --before 4268637158706878358 --limit 165 --key \"Natus veniam necessitatibus atque eligendi vitae sunt.\"")
 }
 
 func operatorsVerifyUsage() {
@@ -595,7 +595,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators verify --key \"Ipsam exercitationem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators verify --key \"Voluptatum dicta explicabo.\"")
 }
 
 func operatorsExplainUsage() {
@@ -615,7 +615,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"Aut est deleniti.\" --key \"Dolorem iure quisquam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators explain --id \"Culpa tenetur libero aut est.\" --key \"Dolorem dolorem iure quisquam harum id maxime.\"")
 }
 
 func operatorsWhyNotUsage() {
--- a/router/gen/http/operators/client/cli.go
+++ b/router/gen/http/operators/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 10968442573000220139,\n      \"delete\": [\n         \"Aut iure placeat eligendi id.\",\n         \"Sequi qui necessitatibus ut aut.\",\n         \"Id dolorem voluptatem nostrum.\"\n      ],\n      \"dry_run\": true,\n      \"files\": [\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         },\n         {\n            \"content\": \"n0v\",\n            \"name\": \"jkm\"\n         }\n      ],\n      \"operator\": \"cet\",\n      \"reason\": \"v\",\n      \"token\": \"9d3\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 8945896784786584545,\n      \"delete\": [\n         \"Placeat eligendi id in sequi.\",\n         \"Necessitatibus ut.\",\n         \"Est id dolorem voluptatem nostrum.\",\n         \"Atque voluptatibus itaque.\"\n      ],\n      \"dry_run\": false,\n      \"files\": [\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         },\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         },\n         {\n            \"content\": \"vyr\",\n            \"name\": \"mvn\"\n         }\n      ],\n      \"operator\": \"trv\",\n      \"reason\": \"9\",\n      \"token\": \"3va\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
@@ -107,7 +107,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsRollbackBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 7117538267781437214,\n      \"dry_run\": false,\n      \"operator\": \"9\",\n      \"reason\": \"1\",\n      \"revision\": 10535304478529585354,\n      \"token\": \"6lo\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 12082778672548281431,\n      \"dry_run\": true,\n      \"operator\": \"l6\",\n      \"reason\": \"o\",\n      \"revision\": 13237100945546989196,\n      \"token\": \"h6f\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
@@ -167,7 +167,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsDrainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 9924249077467467422,\n      \"dry_run\": true,\n      \"operator\": \"553\",\n      \"reason\": \"s\",\n      \"token\": \"9rx\",\n      \"undo\": false\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 18071354055974592033,\n      \"dry_run\": true,\n      \"operator\": \"x\",\n      \"reason\": \"4\",\n      \"token\": \"k6r\",\n      \"undo\": true\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
@@ -251,7 +251,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsLiftBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"operator\": \"t\",\n      \"reason\": \"gv4\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"operator\": \"c\",\n      \"reason\": \"4pl\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Operator) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.operator", body.Operator, utf8.RuneCountInString(body.Operator), 1, true))
--- a/router/gen/http/operators/client/types.go
+++ b/router/gen/http/operators/client/types.go
@@ -167,6 +167,11 @@
 	ExplainPending *int `form:"explain_pending,omitempty" json:"explain_pending,omitempty" xml:"explain_pending,omitempty"`
 	// Decisions dropped because the object store did not take them.
 	ExplainDropped *uint64 `form:"explain_dropped,omitempty" json:"explain_dropped,omitempty" xml:"explain_dropped,omitempty"`
+	// Requests that were running when a backend server crashed; -1 when the table
+	// does not answer.
+	Struck *int `form:"struck,omitempty" json:"struck,omitempty" xml:"struck,omitempty"`
+	// Those of them that run no more.
+	Quarantined *int `form:"quarantined,omitempty" json:"quarantined,omitempty" xml:"quarantined,omitempty"`
 }
 
 // ApplyBadRequestResponseBody is the type of the "operators" service "apply"
@@ -3000,6 +3005,8 @@
 		Revision:       *body.Revision,
 		ExplainPending: *body.ExplainPending,
 		ExplainDropped: *body.ExplainDropped,
+		Struck:         *body.Struck,
+		Quarantined:    *body.Quarantined,
 	}
 	v.Routers = make([]*operators.RouterStatus, len(body.Routers))
 	for i, val := range body.Routers {
@@ -3316,6 +3323,12 @@
 	if body.ExplainDropped == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("explain_dropped", "body"))
 	}
+	if body.Struck == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("struck", "body"))
+	}
+	if body.Quarantined == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("quarantined", "body"))
+	}
 	for _, e := range body.Routers {
 		if e != nil {
 			if err2 := ValidateRouterStatusResponseBody(e); err2 != nil {
--- a/router/gen/http/operators/server/types.go
+++ b/router/gen/http/operators/server/types.go
@@ -171,6 +171,11 @@
 	ExplainPending int `form:"explain_pending" json:"explain_pending" xml:"explain_pending"`
 	// Decisions dropped because the object store did not take them.
 	ExplainDropped uint64 `form:"explain_dropped" json:"explain_dropped" xml:"explain_dropped"`
+	// Requests that were running when a backend server crashed; -1 when the table
+	// does not answer.
+	Struck int `form:"struck" json:"struck" xml:"struck"`
+	// Those of them that run no more.
+	Quarantined int `form:"quarantined" json:"quarantined" xml:"quarantined"`
 }
 
 // ApplyBadRequestResponseBody is the type of the "operators" service "apply"
@@ -1878,6 +1883,8 @@
 		Revision:       res.Revision,
 		ExplainPending: res.ExplainPending,
 		ExplainDropped: res.ExplainDropped,
+		Struck:         res.Struck,
+		Quarantined:    res.Quarantined,
 	}
 	if res.Routers != nil {
 		body.Routers = make([]*RouterStatusResponseBody, len(res.Routers))
--- a/router/gen/operators/service.go
+++ b/router/gen/operators/service.go
@@ -198,6 +198,11 @@
 	ExplainPending int
 	// Decisions dropped because the object store did not take them.
 	ExplainDropped uint64
+	// Requests that were running when a backend server crashed; -1 when the table
+	// does not answer.
+	Struck int
+	// Those of them that run no more.
+	Quarantined int
 }
 
 type HeldRecord struct {
