--- a/router/amrrouter/operator_status.go
+++ b/router/amrrouter/operator_status.go
@@ -77,15 +77,18 @@
 }
 
 func routerStatusOf(state *amrpeer.StateReply) *operators.RouterStatus {
-	age := time.Duration(state.GetAgeMs()) * time.Millisecond
-	return &operators.RouterStatus{
+	status := &operators.RouterStatus{
 		Name:             state.GetName(),
 		AvailabilityZone: state.GetAvailabilityZone(),
 		Incarnation:      optional(state.GetIncarnation()),
 		Ready:            state.GetReady(),
 		Revision:         state.GetRevision(),
-		Age:              optional(age.String()),
 	}
+	if state.GetRevision() > 0 { // Without records there is no age.
+		age := time.Duration(state.GetAgeMs()) * time.Millisecond
+		status.Age = optional(age.String())
+	}
+	return status
 }
 
 // backendServers asks the sidecar of each backend server for its state.
