--- a/sidecar/amrsidecar/gate.go
+++ b/sidecar/amrsidecar/gate.go
@@ -310,7 +310,7 @@
 		a.claim.finished(end)
 	}
 	a.gate.metrics.attempts.WithLabelValues("finished", "").Inc()
-	reply := &amrgate.DispatchReply{
+	return a.send(&amrgate.DispatchReply{
 		Event: &amrgate.DispatchReply_End{End: &amrgate.End{
 			Attempt:          a.request.GetAttempt(),
 			Chunks:           a.sequence,
@@ -322,11 +322,8 @@
 			Status:           int32(end.status),
 			ContentType:      end.contentType,
 		}},
-	}
-	if a.gate.loadDue(a.request) || !a.gate.ready() {
-		reply.Load = a.load()
-	}
-	return a.send(reply)
+		Load: a.load(),
+	})
 }
 
 func (a *attempt) decline(reason amrreason.Code, t *ticket) error {
