Close drpc connections on which no call comes

Cause: reading the change again showed that the listeners of sidecars and of routers' peers bounded the size of a message but no time: a client that sent nothing held a connection for ever. Change: connections without a call are closed after 5 minutes, longer than routers keep idle ones (2 minutes).

--- a/router/amrrouter/gates.go
+++ b/router/amrrouter/gates.go
@@ -19,6 +19,7 @@
 	idleConnections   = 2048
 	idleForOneServer  = 64
 	idleExpiration    = 2 * time.Minute
+	peerIdleTimeout   = 5 * time.Minute // Outlasts idleExpiration at the peers.
 	maxReplyBytes     = 16 << 20
 	softCancelTimeout = 5 * time.Millisecond
 )
--- a/router/amrrouter/peers.go
+++ b/router/amrrouter/peers.go
@@ -103,6 +103,8 @@
 		Manager: drpcmanager.Options{
 			Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxPeerBytes},
 			SoftCancel: true,
+
+			InactivityTimeout: peerIdleTimeout,
 		},
 		Log: func(err error) { r.log.Debug("peer-connection", "error", err) },
 	})
--- a/sidecar/amrsidecar/sidecar.go
+++ b/sidecar/amrsidecar/sidecar.go
@@ -30,6 +30,9 @@
 	"amaranthreach.example/core/amrserve"
 )
 
+// idleTimeout outlasts the time for which routers keep idle connections.
+const idleTimeout = 5 * time.Minute
+
 // maxMessageBytes bounds one message of a router.
 const maxMessageBytes = 16 << 20
 
@@ -41,6 +44,7 @@
 	incarnation string
 	gate        *gate
 	registry    *prometheus.Registry
+	idleTimeout time.Duration // Of connections without a call.
 	listeners   Listeners
 	orderSettle time.Duration
 }
@@ -82,6 +86,7 @@
 		clock:       clockwork.NewRealClock(),
 		log:         slog.Default(),
 		incarnation: newIncarnation(),
+		idleTimeout: idleTimeout,
 		registry:    prometheus.NewRegistry(),
 		orderSettle: orderTimeout,
 	}
@@ -195,6 +200,8 @@
 		Manager: drpcmanager.Options{
 			Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
 			SoftCancel: true,
+
+			InactivityTimeout: s.idleTimeout,
 		},
 		Log: func(err error) { s.log.Debug("gate-connection", "error", err) },
 	})
