Run a router on the users' platform: routes, placement, forwarding and rollouts over direct backend servers

Cause: the product spoke to sidecars only; on the platform routers reach backend servers directly and the store tells everything. New slices in core (amrroute, amrpool, amrhttp, amrforward, amrfollow, amrdirect, amrlog), an order lease that follows its row, and platform/ with names, formats and calls.

--- /dev/null
+++ b/core/amrdirect/carry.go
@@ -0,0 +1,117 @@
+package amrdirect
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// errLeaseLost says that orders may no longer be given.
+var errLeaseLost = errors.New("the lease of orders is not held")
+
+// carry changes the weights of one server and reports how that ended.
+func (r *rollout) carry(ctx context.Context, b begin) {
+	start := r.boot.Now()
+	weights, err := r.change(ctx, b)
+	now := r.boot.Now()
+	if err != nil {
+		r.log.Warn("change of weights ended without success, it is planned anew", "server", b.server.Name, "model", b.model, "after", now.Sub(start), "err", err)
+	} else {
+		r.fleet.SawVersion(r.clock.Now(), b.server.Name, b.model, weights)
+		r.log.Info("change of weights done", "server", b.server.Name, "model", b.model, "weights", weights, "after", now.Sub(start))
+	}
+	r.finish(now, b, err == nil)
+}
+
+// change waits until the server has little to do, orders it to load the newest
+// weights and waits until it holds them.
+func (r *rollout) change(ctx context.Context, b begin) (weights int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, carryLimit)
+	defer cancel()
+	if err := r.pause(ctx, settleTime); err != nil {
+		return 0, err
+	}
+	report, err := r.drain(ctx, b)
+	if err != nil {
+		return 0, err
+	}
+	target := r.fleet.Target(b.model)
+	ordered := time.Time{}
+	for report.Version[b.model] < target || report.Loading {
+		if !report.Loading && r.boot.Now().Sub(ordered) >= resendAfter {
+			target = r.fleet.Target(b.model)
+			ordered = r.boot.Now()
+			if err := r.order(ctx, b, target, report); err != nil {
+				return 0, err
+			}
+		}
+		if err := r.pause(ctx, loadPoll); err != nil {
+			return 0, err
+		}
+		if report, err = r.report(ctx, b); err != nil {
+			return 0, err
+		}
+	}
+	return report.Version[b.model], nil
+}
+
+// drain waits until nothing runs at the server, for a while.
+func (r *rollout) drain(ctx context.Context, b begin) (EngineReport, error) {
+	start := r.boot.Now()
+	for {
+		report, err := r.report(ctx, b)
+		if err != nil || r.mode == Finish || report.Running+report.Waiting == 0 || r.boot.Now().Sub(start) >= drainLimit {
+			return report, err
+		}
+		if err := r.pause(ctx, drainPoll); err != nil {
+			return report, err
+		}
+	}
+}
+
+func (r *rollout) report(ctx context.Context, b begin) (EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.ports.Orders.Report(ctx, b.server.Address, b.server.Name)
+}
+
+// order gives the order. One whose outcome is unknown is not an error: the
+// next report tells, and no order after it has the same count.
+func (r *rollout) order(ctx context.Context, b begin, target int, report EngineReport) error {
+	r.mu.Lock()
+	fence, ok := r.lease.Held(r.boot.Now())
+	r.mu.Unlock()
+	if !ok {
+		return errLeaseLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.ports.Orders.ChangeWeights(ctx, b.server.Address, WeightsOrder{
+		Server:   b.server.Name,
+		Model:    b.model,
+		Version:  target,
+		Mode:     r.mode,
+		Host:     r.host,
+		Fence:    fence,
+		Accepted: report.Accepted,
+	})
+	r.log.Info("order to load weights", "server", b.server.Name, "model", b.model, "weights", target, "fence", fence, "accepted-before", report.Accepted, "running", report.Running, "err", err)
+	if errorx.IsOfType(err, OrderUnknown) || errorx.IsOfType(err, OrderRefused) {
+		return nil
+	}
+	return err
+}
+
+// pause waits for the duration, or returns the error of ctx.
+func (r *rollout) pause(ctx context.Context, d time.Duration) error {
+	timer := r.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.Chan():
+		return nil
+	}
+}
--- /dev/null
+++ b/core/amrdirect/metrics.go
@@ -0,0 +1,76 @@
+package amrdirect
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// register registers the gauges that tell the router's beliefs.
+func (r *Router) register(registerer prometheus.Registerer) {
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "amr_records_version", Help: "Version of the records in force."}, func() float64 {
+			if table := r.forward.Table(); table != nil {
+				return float64(table.Version())
+			}
+			return 0
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "amr_lease_held", Help: "1 while this router gives the orders."}, func() float64 {
+			if r.rollout.holds() {
+				return 1
+			}
+			return 0
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "amr_routers", Help: "Routers that share the retry bounds."}, func() float64 {
+			return float64(r.routers.Load())
+		}),
+		r.newServersCollector(),
+	)
+	for name, f := range r.replicas.followers {
+		labels := prometheus.Labels{"table": name}
+		registerer.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "amr_table_in_touch", Help: "1 while the table answers.", ConstLabels: labels}, func() float64 {
+				if f.InTouch() {
+					return 1
+				}
+				return 0
+			}),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "amr_table_age_seconds", Help: "Time since the table last answered.", ConstLabels: labels}, func() float64 {
+				return r.clock.Since(f.Copy().Touched()).Seconds()
+			}),
+		)
+	}
+}
+
+// serversCollector tells the backend servers by pool and state.
+type serversCollector struct {
+	router *Router
+	desc   *prometheus.Desc
+}
+
+func (r *Router) newServersCollector() *serversCollector {
+	return &serversCollector{
+		router: r,
+		desc:   prometheus.NewDesc("amr_backend_servers", "Backend servers by pool and state.", []string{"pool", "state"}, nil),
+	}
+}
+
+// Describe sends the description of the gauge.
+func (c *serversCollector) Describe(out chan<- *prometheus.Desc) {
+	out <- c.desc
+}
+
+// Collect sends the gauges as of now.
+func (c *serversCollector) Collect(out chan<- prometheus.Metric) {
+	now := c.router.clock.Now()
+	for _, pool := range c.router.fleet.Pools() {
+		counts := make(map[string]int)
+		for _, s := range c.router.fleet.States(now, pool) {
+			counts[s.Status()]++
+		}
+		for state, n := range counts {
+			out <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(n), pool, state)
+		}
+	}
+}
--- /dev/null
+++ b/core/amrdirect/replica.go
@@ -0,0 +1,135 @@
+package amrdirect
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"amaranthreach.example/core/amrfollow"
+)
+
+const (
+	// replicaTimeout bounds a call to another router.
+	replicaTimeout = 300 * time.Millisecond
+
+	// replicaTries is the number of routers that are asked one after the other.
+	replicaTries = 3
+
+	// replicaPath is the path under which routers serve their copies.
+	replicaPath = "/v1/tables/"
+)
+
+// NoReplica says that no other router could give its copy of a table.
+var NoReplica = namespace.NewType("no-replica", errorx.Temporary())
+
+// replicaAnswer is the answer of a router to another one.
+type replicaAnswer struct {
+	Version uint64       `json:"version"`
+	Rows    []replicaRow `json:"rows"`
+}
+
+type replicaRow struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// replicas serves this router's copies of tables to other routers, and reads
+// theirs.
+type replicas struct {
+	own       string // Address of this router.
+	followers map[string]*amrfollow.Follower
+	client    *http.Client
+
+	mu        sync.Mutex
+	addresses []string // Of other routers.
+}
+
+// setAddresses sets where other routers serve their copies.
+func (p *replicas) setAddresses(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addresses = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == p.own })
+}
+
+// ServeHTTP answers with the copy of the table that the path names. It answers
+// 503 where this router is out of touch with the table itself.
+func (p *replicas) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f := p.followers[r.PathValue("table")]
+	if f == nil {
+		http.Error(w, "no such table", http.StatusNotFound)
+		return
+	}
+	if !f.InTouch() {
+		http.Error(w, "out of touch with the table", http.StatusServiceUnavailable)
+		return
+	}
+	answer := replicaAnswer{Version: f.Copy().Version()}
+	for _, row := range f.Copy().Rows() {
+		answer.Rows = append(answer.Rows, replicaRow{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer) // The other router notices a broken answer.
+}
+
+// of returns other routers' copies of the table.
+func (p *replicas) of(table string) amrfollow.Replica {
+	return tableReplica{replicas: p, table: table}
+}
+
+type tableReplica struct {
+	replicas *replicas
+	table    string
+}
+
+// Copy asks some of the other routers for their copies.
+func (t tableReplica) Copy(ctx context.Context) (amrfollow.Batch, error) {
+	t.replicas.mu.Lock()
+	addresses := slices.Clone(t.replicas.addresses)
+	t.replicas.mu.Unlock()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	var last error
+	for _, address := range addresses[:min(replicaTries, len(addresses))] {
+		batch, err := t.ask(ctx, address)
+		if err == nil {
+			return batch, nil
+		}
+		last = err
+	}
+	if last == nil {
+		return amrfollow.Batch{}, NoReplica.New("no other router is known")
+	}
+	return amrfollow.Batch{}, NoReplica.Wrap(last, "no other router gave its copy of %s", t.table)
+}
+
+func (t tableReplica) ask(ctx context.Context, address string) (amrfollow.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, replicaTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+replicaPath+t.table, nil)
+	if err != nil {
+		return amrfollow.Batch{}, err
+	}
+	response, err := t.replicas.client.Do(request)
+	if err != nil {
+		return amrfollow.Batch{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return amrfollow.Batch{}, NoReplica.New("router at %s answered %s", address, response.Status)
+	}
+	var answer replicaAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return amrfollow.Batch{}, err
+	}
+	batch := amrfollow.Batch{Version: answer.Version}
+	for _, row := range answer.Rows {
+		batch.Rows = append(batch.Rows, amrfollow.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return batch, nil
+}
--- /dev/null
+++ b/core/amrdirect/rollout.go
@@ -0,0 +1,349 @@
+package amrdirect
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/core/amrfollow"
+	"amaranthreach.example/core/amrorder"
+	"amaranthreach.example/core/amrplatform"
+	"amaranthreach.example/core/amrpool"
+)
+
+const (
+	// leaseKey is the shared row of the lease of orders.
+	leaseKey = "rollout"
+
+	// leaseTTL is the time for which the lease of orders holds.
+	leaseTTL = 2 * time.Second
+
+	// rolloutTick is the time between two looks at a rollout in progress.
+	rolloutTick = 50 * time.Millisecond
+
+	// idleTick is the time between two looks where nothing is to be done.
+	idleTick = time.Second
+
+	// candidateDelay is how much longer than the last holder, and than the
+	// candidates before it, a candidate waits for a rollout to begin.
+	candidateDelay = 150 * time.Millisecond
+
+	// settleTime is the time in which routers hear that a server is about to
+	// change its weights, and requests on their way to it arrive.
+	settleTime = 40 * time.Millisecond
+
+	// drainLimit is how long a change waits for the running requests, and
+	// drainPoll the time between two looks.
+	drainLimit = 400 * time.Millisecond
+	drainPoll  = 80 * time.Millisecond
+
+	// loadPoll is the time between two looks at a server that loads.
+	loadPoll = 100 * time.Millisecond
+
+	// carryLimit is the longest time of one server's change before it is
+	// planned anew, and resendAfter the time after which an order that was not
+	// carried out is given again.
+	carryLimit  = 8 * time.Second
+	resendAfter = 1200 * time.Millisecond
+
+	// callTimeout bounds a call to an engine or the shared rows.
+	callTimeout = 600 * time.Millisecond
+)
+
+// rollout brings engines to the weights that operators named, while this
+// router holds the lease of orders. What it is about to change stands in the
+// lease's row, so that all routers keep off those servers.
+type rollout struct {
+	ports Ports
+	fleet *amrpool.Fleet
+	pools func() map[string][]string // Pools by model.
+	host  string
+	boot  BootClock       // For the lease and the changes.
+	clock clockwork.Clock // For the fleet and for waiting.
+	log   *slog.Logger
+	wake  chan struct{}
+	mode  LoadMode
+	group errgroup.Group
+
+	mu        sync.Mutex
+	lease     *amrorder.FollowedLease
+	upgrades  map[string]*amrorder.Upgrade // By model.
+	changes   map[string]amrpool.Change    // By server; those that this router carries out.
+	announced bool                         // The shared row has the changes.
+	wantedAt  time.Time                    // Since when there is work; zero for none.
+	rank      int
+	held      bool
+}
+
+// BootClock tells a time that goes on while the host is suspended.
+type BootClock interface {
+	Now() time.Time
+}
+
+// rolloutNote is the holder's note in the lease's row.
+type rolloutNote struct {
+	Changes map[string]changeNote `json:"changes"`
+}
+
+type changeNote struct {
+	Model   string `json:"model"`
+	Weights int    `json:"weights"`
+}
+
+// Run plans and carries out changes until ctx is done.
+func (r *rollout) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := idleTick
+		if r.step(ctx) {
+			pause = rolloutTick
+		}
+		timer := r.clock.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-timer.Chan():
+		}
+		timer.Stop()
+	}
+	return r.group.Wait()
+}
+
+// setRank sets the place of this router among the candidates for the lease.
+func (r *rollout) setRank(rank int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rank = rank
+}
+
+// holds reports whether this router may give orders.
+func (r *rollout) holds() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.lease.Held(r.boot.Now())
+	return ok
+}
+
+// nudge makes Run look again.
+func (r *rollout) nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default: // It will look already.
+	}
+}
+
+// shared takes in the rows that the routers share.
+func (r *rollout) shared(u amrfollow.Update) {
+	for _, row := range u.Rows {
+		if row.Key == leaseKey && !row.Deleted {
+			r.saw(amrplatform.Item{Key: row.Key, Value: row.Value, Version: row.Version})
+		}
+	}
+}
+
+// saw takes in a state of the lease's row.
+func (r *rollout) saw(item amrplatform.Item) {
+	r.mu.Lock()
+	if !r.lease.Saw(r.boot.Now(), item) {
+		r.mu.Unlock()
+		return
+	}
+	note := r.lease.Note()
+	r.mu.Unlock()
+	r.apply(note)
+	r.nudge()
+}
+
+// apply makes the fleet keep off the servers that the note names.
+func (r *rollout) apply(data json.RawMessage) {
+	var note rolloutNote
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &note); err != nil {
+			r.log.Error("cannot read the note of the rollout, no server is kept free", "err", err)
+		}
+	}
+	changes := make(map[string]amrpool.Change, len(note.Changes))
+	for server, c := range note.Changes {
+		changes[server] = amrpool.Change{Model: c.Model, Version: c.Weights}
+	}
+	r.fleet.SetChanges(changes)
+}
+
+// step does what is due, and reports whether a rollout is in progress.
+func (r *rollout) step(ctx context.Context) bool {
+	now := r.boot.Now()
+	wanted := r.wanted()
+	r.mu.Lock()
+	fence, held := r.lease.Held(now)
+	if held != r.held {
+		r.held = held
+		r.log.Info("lease of orders", "held", held, "fence", fence, "holder", r.lease.Holder())
+	}
+	switch {
+	case !wanted && len(r.changes) == 0 && r.announced:
+		r.wantedAt = time.Time{}
+		r.mu.Unlock()
+		return false
+	case r.wantedAt.IsZero():
+		r.wantedAt = now
+	}
+	mayBegin := held || r.lease.Holder() == r.host || now.Sub(r.wantedAt) >= time.Duration(1+r.rank)*candidateDelay
+	r.mu.Unlock()
+	if !mayBegin {
+		return true
+	}
+	var begun []begin
+	if held {
+		begun = r.plan(now)
+	}
+	r.mu.Lock()
+	due := !held || r.lease.RenewalDue(now) || !r.announced
+	r.mu.Unlock()
+	if due && !r.announce(ctx) {
+		r.abandon(now, begun)
+		return true
+	}
+	for _, b := range begun {
+		r.group.Go(func() error {
+			r.carry(ctx, b)
+			return nil
+		})
+	}
+	return true
+}
+
+// begin is a server whose change begins.
+type begin struct {
+	server amrpool.State
+	model  string
+}
+
+// wanted reports whether an engine has older weights than were named.
+func (r *rollout) wanted() bool {
+	for model, pools := range r.pools() {
+		servers, _ := r.servers(model, pools)
+		if r.upgrade(model).Wanted(r.fleet.Target(model), servers) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *rollout) upgrade(model string) *amrorder.Upgrade {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := r.upgrades[model]
+	if u == nil {
+		u = amrorder.NewUpgrade()
+		r.upgrades[model] = u
+	}
+	return u
+}
+
+// servers returns the engines that serve the model.
+func (r *rollout) servers(model string, pools []string) ([]amrorder.UpgradeServer, map[string]amrpool.State) {
+	var servers []amrorder.UpgradeServer
+	states := make(map[string]amrpool.State)
+	for _, pool := range pools {
+		for _, s := range r.fleet.States(r.clock.Now(), pool) {
+			version, known := s.Version[model]
+			if s.Gone || !known {
+				continue
+			}
+			states[s.Name] = s
+			servers = append(servers, amrorder.UpgradeServer{Name: s.Name, Version: version, Draining: s.Draining, Load: s.Load})
+		}
+	}
+	return servers, states
+}
+
+// plan chooses the servers whose change begins and adds them to the changes.
+func (r *rollout) plan(now time.Time) []begin {
+	var begun []begin
+	for model, pools := range r.pools() {
+		servers, states := r.servers(model, pools)
+		target := r.fleet.Target(model)
+		u := r.upgrade(model)
+		r.mu.Lock()
+		for _, name := range u.Plan(now, target, servers) {
+			r.changes[name] = amrpool.Change{Model: model, Version: target}
+			r.announced = false
+			begun = append(begun, begin{server: states[name], model: model})
+			r.log.Info("change of weights begins", "server", name, "model", model, "weights", target, "load", states[name].Load)
+		}
+		r.mu.Unlock()
+	}
+	return begun
+}
+
+// announce writes the changes with the lease, and reports whether that was
+// done.
+func (r *rollout) announce(ctx context.Context) bool {
+	note := rolloutNote{Changes: make(map[string]changeNote)}
+	r.mu.Lock()
+	for server, c := range r.changes {
+		note.Changes[server] = changeNote{Model: c.Model, Weights: c.Version}
+	}
+	data, err := json.Marshal(note)
+	if err != nil {
+		panic(err) // Strings and numbers can always be encoded.
+	}
+	txn, ok := r.lease.Write(r.boot.Now(), data)
+	r.mu.Unlock()
+	if !ok {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version, err := r.ports.Rows.Write(callCtx, txn)
+	r.mu.Lock()
+	r.lease.Written(r.boot.Now(), version, err)
+	r.announced = r.announced || err == nil
+	r.mu.Unlock()
+	if err != nil {
+		r.log.Warn("cannot write the lease of orders", "err", err)
+		r.reread(ctx, err)
+		return false
+	}
+	r.apply(data)
+	return true
+}
+
+// reread reads the lease's row after a write that may have failed for its
+// condition.
+func (r *rollout) reread(ctx context.Context, err error) {
+	if errorx.IsOfType(err, amrplatform.Unavailable) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, err := r.ports.Rows.Read(callCtx, leaseKey)
+	if err != nil {
+		r.log.Warn("cannot read the lease of orders", "err", err)
+		return
+	}
+	r.saw(item)
+}
+
+// abandon takes back changes that could not be announced.
+func (r *rollout) abandon(now time.Time, begun []begin) {
+	for _, b := range begun {
+		r.finish(now, b, false)
+	}
+}
+
+// finish ends a server's change.
+func (r *rollout) finish(now time.Time, b begin, ok bool) {
+	u := r.upgrade(b.model)
+	r.mu.Lock()
+	u.Finish(now, b.server.Name, ok)
+	delete(r.changes, b.server.Name)
+	r.announced = false
+	r.mu.Unlock()
+	r.nudge()
+}
--- /dev/null
+++ b/core/amrdirect/serve.go
@@ -0,0 +1,88 @@
+package amrdirect
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/core/amrserve"
+)
+
+// Interface is an address with what is served there. An empty address serves
+// nothing.
+type Interface struct {
+	Address string
+	Handler http.Handler
+}
+
+// Interfaces are what a router serves.
+type Interfaces struct {
+	Callers Interface
+	Health  Interface
+	Peers   Interface
+	Metrics Interface
+}
+
+// Stopping bounds a graceful shutdown.
+type Stopping struct {
+	Delay time.Duration // From turning unready to taking no more connections.
+	Grace time.Duration // For requests in progress after that.
+}
+
+// callersIdle is how long a connection of a caller may be idle. Callers learn
+// their bound from the records, which is shorter.
+const callersIdle = 2 * time.Minute
+
+// ListenAndServe serves the interfaces and runs the router until ctx is done.
+// Then it turns unready, gives no more orders, waits until the balancer has
+// noticed, and ends when the requests in progress have ended or the grace time
+// is over.
+func (r *Router) ListenAndServe(ctx context.Context, i Interfaces, stopping Stopping) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	closing, closeCallers := context.WithCancel(running)
+	defer closeCallers()
+
+	var group errgroup.Group
+	group.Go(func() error { return r.Run(running, ctx) })
+	for _, side := range []Interface{i.Health, i.Peers, i.Metrics} {
+		group.Go(func() error { return r.serve(running, side, 0) })
+	}
+	group.Go(func() error {
+		<-ctx.Done()
+		r.Stop()
+		r.log.Info("stopping", "delay", stopping.Delay, "grace", stopping.Grace)
+		r.clock.Sleep(stopping.Delay)
+		closeCallers()
+		return nil
+	})
+	err := r.serve(closing, i.Callers, stopping.Grace)
+	r.log.Info("stopped", "err", err)
+	stop()
+	if err != nil {
+		return err
+	}
+	if ctx.Err() == nil {
+		return nil // The callers' server ended by itself.
+	}
+	return group.Wait()
+}
+
+func (r *Router) serve(ctx context.Context, i Interface, grace time.Duration) error {
+	if i.Address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", i.Address)
+	if err != nil {
+		r.log.Error("cannot listen, free the address or change the settings", "address", i.Address, "err", err)
+		return err
+	}
+	r.log.Info("serving", "address", slog.AnyValue(listener.Addr()).String())
+	limits := amrserve.DefaultLimits
+	limits.IdleTimeout = callersIdle
+	return amrserve.HTTP(ctx, listener, i.Handler, limits, grace)
+}
--- /dev/null
+++ b/core/amrforward/metrics.go
@@ -0,0 +1,102 @@
+package amrforward
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count what becomes of requests.
+type Metrics struct {
+	requests  *prometheus.CounterVec
+	sends     *prometheus.CounterVec
+	firstByte *prometheus.HistogramVec
+	duration  *prometheus.HistogramVec
+}
+
+// NewMetrics returns metrics that are registered with the registerer, or with
+// none where it is nil.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
+	m := &Metrics{
+		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_requests_total", Help: "Requests by route, status and reason of refusal."}, []string{"route", "status", "reason"}),
+		sends:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_sends_total", Help: "Sends to backend servers by pool and result."}, []string{"pool", "result"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_first_byte_seconds", Help: "Time from a request to the first byte of its answer.", Buckets: buckets}, []string{"route"}),
+		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_request_seconds", Help: "Time from a request to the end of its answer.", Buckets: buckets}, []string{"route"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.requests, m.sends, m.firstByte, m.duration)
+	}
+	return m
+}
+
+// report counts and logs what became of the request.
+func (x *exchange) report(ctx context.Context) {
+	now := x.f.clock.Now()
+	route, reason := "", ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.refused != nil {
+		reason = string(x.refused.code)
+	}
+	m := x.f.metrics
+	m.requests.WithLabelValues(route, strconv.Itoa(x.status), reason).Inc()
+	for _, s := range x.sends {
+		m.sends.WithLabelValues(x.pool, s.result.String()).Inc()
+	}
+	if !x.firstByte.IsZero() {
+		m.firstByte.WithLabelValues(route).Observe(x.firstByte.Sub(x.request.Arrived).Seconds())
+	}
+	m.duration.WithLabelValues(route).Observe(now.Sub(x.request.Arrived).Seconds())
+	if x.f.log.Enabled(ctx, slog.LevelInfo) {
+		x.f.log.LogAttrs(ctx, slog.LevelInfo, "request", x.attrs(now, route, reason)...)
+	}
+}
+
+func (x *exchange) attrs(now time.Time, route, reason string) []slog.Attr {
+	attrs := []slog.Attr{
+		slog.String("id", x.request.ID),
+		slog.String("route", route),
+		slog.String("pool", x.pool),
+		slog.Int("status", x.status),
+		slog.Duration("took", now.Sub(x.request.Arrived).Round(time.Millisecond)),
+	}
+	if x.table != nil {
+		attrs = append(attrs, slog.Int64("records", x.table.Version()))
+	}
+	if !x.firstByte.IsZero() {
+		attrs = append(attrs, slog.Duration("first-byte", x.firstByte.Sub(x.request.Arrived).Round(time.Millisecond)))
+	}
+	if len(x.sends) > 0 {
+		attrs = append(attrs, slog.String("sends", x.sendsText()))
+	}
+	if x.refused != nil {
+		attrs = append(attrs, slog.String("reason", reason), slog.String("ran", string(x.refused.ran)), slog.String("detail", x.refused.detail))
+	}
+	return attrs
+}
+
+// sendsText tells where the request was sent, by which inputs, and what came
+// of it.
+func (x *exchange) sendsText() string {
+	var b strings.Builder
+	for i, s := range x.sends {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		c := s.choice
+		b.WriteString(c.Name + " weights=" + strconv.Itoa(c.Version) +
+			" cached=" + strconv.Itoa(c.Cached) + " missing=" + strconv.Itoa(c.Missing) +
+			" cost=" + c.Cost.Round(time.Millisecond).String() +
+			" " + s.result.String() + " after " + s.took.Round(time.Millisecond).String())
+		if s.detail != "" {
+			b.WriteString(" (" + s.detail + ")")
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/core/amrpool/parts.go
@@ -0,0 +1,86 @@
+package amrpool
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/zeebo/xxh3"
+)
+
+// maxParts bounds the parts that a router remembers of one backend server.
+const maxParts = 1024
+
+// Part is one part of a prompt. Requests share leading parts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// chain returns a key for each part that stands for it and all parts before
+// it. Equal chains under one seed have equal keys.
+func chain(seed uint64, parts []Part) []uint64 {
+	keys := make([]uint64, len(parts))
+	for i, p := range parts {
+		seed = xxh3.HashStringSeed(p.ID, seed)
+		keys[i] = seed
+	}
+	return keys
+}
+
+// partCache remembers which parts a backend server is likely to have cached.
+type partCache struct {
+	lru    *simplelru.LRU[uint64, cachedPart]
+	tokens int
+	bound  int
+}
+
+type cachedPart struct {
+	tokens int
+	usedAt time.Time
+}
+
+func newPartCache(bound int) *partCache {
+	c := &partCache{bound: bound}
+	lru, err := simplelru.NewLRU(maxParts, func(_ uint64, p cachedPart) { c.tokens -= p.tokens })
+	if err != nil {
+		panic(err) // Only for a size below one.
+	}
+	c.lru = lru
+	return c
+}
+
+func (c *partCache) clear() {
+	c.lru.Purge()
+}
+
+// depth returns how many leading parts are cached.
+func (c *partCache) depth(keys []uint64) int {
+	for i, key := range keys {
+		if !c.lru.Contains(key) {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// add notes that the parts were read or used.
+func (c *partCache) add(now time.Time, keys []uint64, parts []Part) {
+	for i := len(keys) - 1; i >= 0; i-- {
+		if old, ok := c.lru.Peek(keys[i]); ok {
+			c.tokens -= old.tokens
+		}
+		c.lru.Add(keys[i], cachedPart{tokens: parts[i].Tokens, usedAt: now})
+		c.tokens += parts[i].Tokens
+	}
+	for c.bound > 0 && c.tokens > c.bound && c.lru.Len() > 0 {
+		c.lru.RemoveOldest()
+	}
+}
+
+func tokensOf(parts []Part) int {
+	total := 0
+	for _, p := range parts {
+		total += p.Tokens
+	}
+	return total
+}
--- /dev/null
+++ b/core/amrpool/pick.go
@@ -0,0 +1,285 @@
+package amrpool
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// requestCost is what each request in progress at a server costs another:
+	// steps of larger batches take longer.
+	requestCost = 12 * time.Millisecond
+
+	// slotCost is what a full set of slots of a plain service costs.
+	slotCost = 200 * time.Millisecond
+
+	// zoneCost is what a server in another availability zone costs.
+	zoneCost = 5 * time.Millisecond
+
+	// faultCost is what the evidence of one fault costs.
+	faultCost = 400 * time.Millisecond
+
+	// staleCost is what weights cost that are not the newest ones.
+	staleCost = 300 * time.Millisecond
+
+	// homePromise is the share of its parts that a home is taken to have
+	// cached before this router has seen it.
+	homePromise = 0.7
+
+	// transferCost is the share of the time of reading a part that it takes to
+	// transfer it from another server.
+	transferCost = 0.25
+
+	// fullMemory is the share of an engine's memory at which requests start to
+	// preempt others, and fullCost is what such a server costs.
+	fullMemory = 0.8
+	fullCost   = time.Second
+)
+
+// Request is what a backend server is chosen for.
+type Request struct {
+	Pool         string
+	Model        string // Empty for plain services.
+	Parts        []Part // Of the prompt.
+	PromptTokens int
+	OutputTokens int
+	Team         string
+	Isolated     bool     // Shares no cached parts with other teams.
+	Exclude      []string // Names of servers that have failed or rejected it.
+}
+
+// shared returns how many leading parts other requests may share. The last
+// part is the request's own.
+func (r *Request) shared() int {
+	return max(len(r.Parts)-1, 0)
+}
+
+// scope returns the text that keeps cached parts of different owners apart.
+func (r *Request) scope() string {
+	if r.Isolated {
+		return r.Team
+	}
+	return ""
+}
+
+// Choice is the server chosen for a request. Its methods tell the Fleet what
+// became of it; Done must be called once.
+type Choice struct {
+	Name      string
+	Address   string
+	Version   int    // Of the model's weights that the server is taken to hold; 0 where unknown.
+	CacheText string // Keeps cached parts of other weights and owners apart.
+	FetchFrom string // Address of a server that is likely to have missing parts; empty for none.
+
+	Cached  int           // Prompt tokens taken to be cached.
+	Missing int           // Prompt tokens taken to be read.
+	Cost    time.Duration // By which it was chosen.
+
+	fleet   *Fleet
+	server  *server
+	model   string
+	keys    []uint64
+	parts   []Part
+	started bool
+	tokens  int
+}
+
+// Reason says why no server could be chosen.
+type Reason int
+
+// The reasons.
+const (
+	NoServer     Reason = iota // The pool has none that may get work.
+	StaleWeights               // All that may have weights that are too old.
+	AllChanging                // All that may are changing their weights.
+	AllExcluded                // All that may have failed or rejected the request.
+)
+
+// String returns the reason as it appears in logs.
+func (r Reason) String() string {
+	return [...]string{"no-server", "stale-weights", "all-changing", "all-excluded"}[r]
+}
+
+// candidate is a server with what choosing it would mean.
+type candidate struct {
+	server  *server
+	depth   int // Leading parts taken to be cached.
+	cached  int
+	cost    time.Duration
+	version int
+}
+
+// Pick chooses a server for the request and counts the request there. It
+// returns the reason where there is none.
+func (f *Fleet) Pick(now time.Time, r Request) (*Choice, Reason) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	eligible, reason := f.eligible(now, r)
+	if len(eligible) == 0 {
+		return nil, reason
+	}
+	keys := chain(xxh3.HashString(r.Model+"\x00"+r.scope()), r.Parts)
+	homes := f.homes(eligible, keys[:r.shared()], r.Model)
+	best := candidate{}
+	for _, s := range eligible {
+		c := f.weigh(now, r, s, keys, homes)
+		if best.server == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return f.choose(r, best, eligible, keys, homes), 0
+}
+
+// eligible returns the servers that may run the request: those in no trouble,
+// or else those that were avoided for a moment.
+func (f *Fleet) eligible(now time.Time, r Request) ([]*server, Reason) {
+	var good, avoided []*server
+	reason := NoServer
+	for _, s := range f.pools[r.Pool] {
+		switch {
+		case !s.usable(now):
+		case slices.Contains(r.Exclude, s.Name):
+			reason = AllExcluded
+		case s.changing():
+			reason = AllChanging
+		case f.tooStale(now, s, r.Model):
+			reason = StaleWeights
+		case now.Before(s.avoidUntil):
+			avoided = append(avoided, s)
+		default:
+			good = append(good, s)
+		}
+	}
+	if len(good) > 0 {
+		return good, 0
+	}
+	return avoided, reason
+}
+
+func (f *Fleet) tooStale(now time.Time, s *server, model string) bool {
+	t := f.targets[model]
+	return s.version[model] < t.version && now.Sub(t.named) >= f.staleLimit
+}
+
+func (f *Fleet) stale(now time.Time, s *server, model string) bool {
+	t := f.targets[model]
+	return s.version[model] < t.version && now.Sub(t.named) >= f.staleAfter
+}
+
+// homes returns the home of each shared part: the server that all routers
+// prefer for it. Of servers with different weights, only those with the newest
+// are homes.
+func (f *Fleet) homes(servers []*server, keys []uint64, model string) []*server {
+	newest := 0
+	for _, s := range servers {
+		newest = max(newest, s.version[model])
+	}
+	homes := make([]*server, len(keys))
+	for i, key := range keys {
+		for _, s := range servers {
+			if s.version[model] < newest {
+				continue
+			}
+			if homes[i] == nil || s.rank(key) > homes[i].rank(key) {
+				homes[i] = s
+			}
+		}
+	}
+	return homes
+}
+
+func (f *Fleet) weigh(now time.Time, r Request, s *server, keys []uint64, homes []*server) candidate {
+	c := candidate{server: s, version: s.version[r.Model]}
+	load := float64(s.inFlight) + s.others(now)
+	if r.Model == "" {
+		c.cost = time.Duration(float64(slotCost) * load / float64(max(s.Slots, 1)))
+	} else {
+		c.depth = s.parts.depth(keys)
+		c.cached = tokensOf(r.Parts[:c.depth])
+		promised := 0.0
+		for i := c.depth; i < len(homes); i++ {
+			if homes[i] == s {
+				promised += homePromise * float64(tokensOf(r.Parts[c.depth:i+1]))
+				break
+			}
+		}
+		missing := max(0, float64(r.PromptTokens-c.cached)-promised)
+		c.cost = f.reading(missing+float64(s.pendingTokens)) + time.Duration(load*float64(requestCost))
+		if bound := f.cacheTokens(r.Pool); bound > 0 && s.heldTokens+r.PromptTokens > int(fullMemory*float64(bound)) {
+			c.cost += fullCost
+		}
+	}
+	if s.AvailabilityZone != f.zone {
+		c.cost += zoneCost
+	}
+	if f.stale(now, s, r.Model) {
+		c.cost += staleCost
+	}
+	c.cost += time.Duration(s.evidence(now) * float64(faultCost))
+	return c
+}
+
+// reading returns the time in which an engine reads the tokens of a prompt.
+func (f *Fleet) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / f.rate * float64(time.Second))
+}
+
+func (f *Fleet) choose(r Request, c candidate, eligible []*server, keys []uint64, homes []*server) *Choice {
+	s := c.server
+	f.lastPick++
+	s.inFlight++
+	choice := &Choice{
+		Name:    s.Name,
+		Address: s.Address,
+		Version: c.version,
+		Cached:  c.cached,
+		Missing: max(0, r.PromptTokens-c.cached),
+		Cost:    c.cost,
+		fleet:   f,
+		server:  s,
+		model:   r.Model,
+		keys:    keys,
+		parts:   r.Parts,
+	}
+	if r.Model == "" {
+		return choice
+	}
+	choice.CacheText = r.Model + "/" + strconv.Itoa(c.version) + "/" + r.scope()
+	choice.FetchFrom = fetchFrom(r, c, eligible, keys, homes)
+	choice.tokens = choice.Missing + r.OutputTokens
+	s.pendingTokens += choice.Missing
+	s.heldTokens += choice.tokens
+	return choice
+}
+
+// fetchFrom returns the address of the server from which the chosen one can
+// fetch shared parts that it lacks: one that is known to have more of them, or
+// else the home of the deepest one.
+func fetchFrom(r Request, c candidate, eligible []*server, keys []uint64, homes []*server) string {
+	shared := r.shared()
+	if c.depth >= shared {
+		return ""
+	}
+	var source *server
+	depth := c.depth
+	for _, s := range eligible {
+		if s == c.server || s.version[r.Model] != c.version {
+			continue
+		}
+		if d := min(s.parts.depth(keys), shared); d > depth {
+			source, depth = s, d
+		}
+	}
+	for i := shared - 1; i >= c.depth && source == nil; i-- {
+		if homes[i] != c.server && homes[i].version[r.Model] == c.version {
+			source = homes[i]
+		}
+	}
+	if source == nil {
+		return ""
+	}
+	return source.Address
+}
