--- a/core/amrdirect/beliefs.go
+++ b/core/amrdirect/beliefs.go
@@ -69,7 +69,9 @@
 	for _, problem := range records.Problems() {
 		b.log.Warn("records have a route that cannot be served; declare its pool", "records", records.Version, "problem", problem)
 	}
-	b.forward.SetTable(amrroute.New(records))
+	table := amrroute.New(records)
+	b.forward.SetTable(table)
+	b.fleet.SetStores(table.Stores())
 	b.log.Info("records in force", "records", records.Version, "routes", len(records.Routes), "pools", len(records.Pools), "teams", len(records.Teams), "row-version", rowVersion)
 }
 
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -166,6 +166,7 @@
 		Version:   choice.Version,
 		CacheText: choice.CacheText,
 		FetchFrom: choice.FetchFrom,
+		SaveTo:    choice.SaveTo,
 		Resume:    x.request.Resume,
 		Once:      !x.repeatable,
 	}
--- a/core/amrforward/request.go
+++ b/core/amrforward/request.go
@@ -37,7 +37,8 @@
 	Priority  int    // 0 is the most urgent.
 	Version   int    // Of the model's weights; a server with others must not run it. 0 for any.
 	CacheText string // Keeps cached prompt parts apart; empty for plain services.
-	FetchFrom string // Address of a server with more of the prompt's parts.
+	FetchFrom string // Address of a server or store with more of the prompt's parts; empty for none.
+	SaveTo    string // Address of a store that is to get the prompt's parts; empty for none.
 	Resume    string // Id of the last event that the caller has; empty for none.
 	Once      bool   // It must not be sent on a connection that may be closed.
 }
--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -23,7 +23,7 @@
 	byName      map[string]*server
 	pools       map[string][]*server
 	targets     map[string]target
-	lastPick    uint64
+	store       storeParts
 
 	staleAfter time.Duration // Since a version was named, until older ones are taken for costly.
 	staleLimit time.Duration // The same, until they may not be used.
@@ -91,6 +91,7 @@
 		byName:      make(map[string]*server),
 		pools:       make(map[string][]*server),
 		targets:     make(map[string]target),
+		store:       newStoreParts(),
 		staleAfter:  1500 * time.Millisecond,
 		staleLimit:  7 * time.Second,
 	}
--- a/core/amrpool/parts.go
+++ b/core/amrpool/parts.go
@@ -63,6 +63,16 @@
 	return len(keys)
 }
 
+// freshDepth returns how many leading parts were used after the time.
+func (c *partCache) freshDepth(after time.Time, keys []uint64) int {
+	for i, key := range keys {
+		if p, ok := c.lru.Peek(key); !ok || p.usedAt.Before(after) {
+			return i
+		}
+	}
+	return len(keys)
+}
+
 // add notes that the parts were read or used.
 func (c *partCache) add(now time.Time, keys []uint64, parts []Part) {
 	for i := len(keys) - 1; i >= 0; i-- {
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -72,7 +72,8 @@
 	Address   string
 	Version   int    // Of the model's weights that the server is taken to hold; 0 where unknown.
 	CacheText string // Keeps cached parts of other weights and owners apart.
-	FetchFrom string // Address of a server that is likely to have missing parts; empty for none.
+	FetchFrom string // Address of a server or store that is likely to have missing parts; empty for none.
+	SaveTo    string // Address of a store that is to get the parts; empty for none.
 
 	Cached  int           // Prompt tokens taken to be cached.
 	Missing int           // Prompt tokens taken to be read.
@@ -130,7 +131,7 @@
 			best = c
 		}
 	}
-	return f.choose(r, best, eligible, keys, homes), 0
+	return f.choose(now, r, best, eligible, keys), 0
 }
 
 // eligible returns the servers that may run the request: those in no trouble,
@@ -226,9 +227,8 @@
 	return time.Duration(tokens / f.rate * float64(time.Second))
 }
 
-func (f *Fleet) choose(r Request, c candidate, eligible []*server, keys []uint64, homes []*server) *Choice {
+func (f *Fleet) choose(now time.Time, r Request, c candidate, eligible []*server, keys []uint64) *Choice {
 	s := c.server
-	f.lastPick++
 	s.inFlight++
 	choice := &Choice{
 		Name:    s.Name,
@@ -247,38 +247,10 @@
 		return choice
 	}
 	choice.CacheText = r.Model + "/" + strconv.Itoa(c.version) + "/" + r.scope()
-	choice.FetchFrom = fetchFrom(r, c, eligible, keys, homes)
+	choice.FetchFrom = f.fetchFrom(now, r, c, eligible, keys)
+	choice.SaveTo = f.saveTo(now, r, keys, choice.CacheText)
 	choice.tokens = choice.Missing + r.OutputTokens
 	s.pendingTokens += choice.Missing
 	s.heldTokens += choice.tokens
 	return choice
 }
-
-// fetchFrom returns the address of the server from which the chosen one can
-// fetch shared parts that it lacks: one that is known to have more of them, or
-// else the home of the deepest one.
-func fetchFrom(r Request, c candidate, eligible []*server, keys []uint64, homes []*server) string {
-	shared := r.shared()
-	if c.depth >= shared {
-		return ""
-	}
-	var source *server
-	depth := c.depth
-	for _, s := range eligible {
-		if s == c.server || s.version[r.Model] != c.version {
-			continue
-		}
-		if d := min(s.parts.depth(keys), shared); d > depth {
-			source, depth = s, d
-		}
-	}
-	for i := shared - 1; i >= c.depth && source == nil; i-- {
-		if homes[i] != c.server && homes[i].version[r.Model] == c.version {
-			source = homes[i]
-		}
-	}
-	if source == nil {
-		return ""
-	}
-	return source.Address
-}
--- a/core/amrroute/table.go
+++ b/core/amrroute/table.go
@@ -22,6 +22,7 @@
 	keys    map[string]*Team // Team by its key.
 	teams   bool             // Callers need a key.
 	limits  Limits
+	stores  []CacheStore
 }
 
 // Records are what a Table is built from.
@@ -31,6 +32,15 @@
 	Pools   []Pool
 	Teams   []Team
 	Limits  Limits
+	Stores  []CacheStore
+}
+
+// CacheStore is a store of cached prompt parts that engines save to and fetch
+// from.
+type CacheStore struct {
+	Name             string
+	Address          string
+	AvailabilityZone string
 }
 
 // Route says how requests to a host and path prefix are handled.
@@ -108,6 +118,7 @@
 		keys:    make(map[string]*Team),
 		teams:   len(records.Teams) > 0,
 		limits:  records.Limits,
+		stores:  records.Stores,
 	}
 	for i := range records.Routes {
 		r := &records.Routes[i]
@@ -138,6 +149,11 @@
 	return t.limits
 }
 
+// Stores returns the stores of cached prompt parts.
+func (t *Table) Stores() []CacheStore {
+	return t.stores
+}
+
 // Pool returns the pool of the name, or nil.
 func (t *Table) Pool(name string) *Pool {
 	return t.pools[name]
