--- a/core/amrdirect/carry.go
+++ b/core/amrdirect/carry.go
@@ -13,6 +13,10 @@
 	// change its weights, and requests on their way to it arrive.
 	settleTime = 40 * time.Millisecond
 
+	// maxLoads is the number of engines that load at once. More share the same
+	// source of weights and each takes longer.
+	maxLoads = 3
+
 	// drainLimit is how long a change waits for the running requests, and
 	// drainPoll the time between two looks.
 	drainLimit = 400 * time.Millisecond
@@ -57,6 +61,13 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := r.loads.Acquire(ctx, 1); err != nil {
+		return 0, err
+	}
+	defer r.loads.Release(1)
+	if report, err = r.report(ctx, b); err != nil {
+		return 0, err
+	}
 	target := r.fleet.Target(b.model)
 	ordered := time.Time{}
 	for report.Version[b.model] < target || report.Loading {
--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"amaranthreach.example/core/amrfollow"
 	"amaranthreach.example/core/amrorder"
@@ -50,6 +51,7 @@
 	log   *slog.Logger
 	wake  chan struct{}
 	mode  LoadMode
+	loads *semaphore.Weighted // One for each engine that loads.
 	group errgroup.Group
 
 	mu        sync.Mutex
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -22,6 +22,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"amaranthreach.example/core/amrfollow"
 	"amaranthreach.example/core/amrforward"
@@ -152,6 +153,7 @@
 		log:       r.log,
 		wake:      make(chan struct{}, 1),
 		mode:      Retain,
+		loads:     semaphore.NewWeighted(maxLoads),
 		lease:     amrorder.NewFollowedLease(r.boot.Now(), leaseKey, r.settings.Host, uuid.NewString(), leaseTTL),
 		handover:  newHandover(r.boot.Now(), r.settings.Host, r.settings.Bounds.LeaseHandover),
 		upgrades:  make(map[string]*amrorder.Upgrade),
