Place prompts by what is cached, in the store or being read; weigh reading again eightfold

Cause: 1.4 of 4.1 M tokens read again went to servers that lacked parts which another had just read. What remains is parts that several requests read at once.

--- a/core/amrpool/choice.go
+++ b/core/amrpool/choice.go
@@ -39,7 +39,10 @@
 	c.started = true
 	s.pendingTokens -= c.Missing
 	if s.version[c.model] == c.Version {
-		s.parts.add(now, c.keys, c.parts)
+		s.parts.add(now, c.prompt.keys, c.prompt.parts)
+	}
+	if c.SaveTo != "" {
+		f.store.saved(now, c.Version, c.prompt.keys[:c.prompt.shared])
 	}
 }
 
--- a/core/amrpool/parts.go
+++ b/core/amrpool/parts.go
@@ -53,16 +53,6 @@
 	c.lru.Purge()
 }
 
-// depth returns how many leading parts are cached.
-func (c *partCache) depth(keys []uint64) int {
-	for i, key := range keys {
-		if !c.lru.Contains(key) {
-			return i
-		}
-	}
-	return len(keys)
-}
-
 // freshDepth returns how many leading parts were used after the time.
 func (c *partCache) freshDepth(after time.Time, keys []uint64) int {
 	for i, key := range keys {
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strconv"
 	"time"
-
-	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -25,14 +23,15 @@
 	// staleCost is what weights cost that are not the newest ones.
 	staleCost = 300 * time.Millisecond
 
-	// homePromise is the share of its parts that a home is taken to have
-	// cached before this router has seen it.
-	homePromise = 0.7
-
 	// transferCost is the share of the time of reading a part that it takes to
-	// transfer it from another server.
+	// transfer it from another engine or a store.
 	transferCost = 0.25
 
+	// againWeight is what it costs to read parts that another engine reads or
+	// has read, as a multiple of the time it takes: it also takes memory from
+	// parts that others need.
+	againWeight = 8.0
+
 	// fullMemory is the share of an engine's memory at which requests start to
 	// preempt others, and fullCost is what such a server costs.
 	fullMemory = 0.8
@@ -82,8 +81,7 @@
 	fleet   *Fleet
 	server  *server
 	model   string
-	keys    []uint64
-	parts   []Part
+	prompt  *prompt
 	started bool
 	tokens  int
 }
@@ -107,8 +105,7 @@
 // candidate is a server with what choosing it would mean.
 type candidate struct {
 	server  *server
-	depth   int // Leading parts taken to be cached.
-	cached  int
+	work    work
 	cost    time.Duration
 	version int
 }
@@ -122,16 +119,15 @@
 	if len(eligible) == 0 {
 		return nil, reason
 	}
-	keys := chain(xxh3.HashString(r.Model+"\x00"+r.scope()), r.Parts)
-	homes := f.homes(eligible, keys[:r.shared()], r.Model)
+	p := f.prompt(now, r, eligible)
 	best := candidate{}
 	for _, s := range eligible {
-		c := f.weigh(now, r, s, keys, homes)
+		c := f.weigh(now, r, s, p)
 		if best.server == nil || c.cost < best.cost {
 			best = c
 		}
 	}
-	return f.choose(now, r, best, eligible, keys), 0
+	return f.choose(now, r, best, p), 0
 }
 
 // eligible returns the servers that may run the request: those in no trouble,
@@ -169,45 +165,14 @@
 	return now.Sub(at)
 }
 
-// homes returns the home of each shared part: the server that all routers
-// prefer for it. Of servers with different weights, only those with the newest
-// are homes.
-func (f *Fleet) homes(servers []*server, keys []uint64, model string) []*server {
-	newest := 0
-	for _, s := range servers {
-		newest = max(newest, s.version[model])
-	}
-	homes := make([]*server, len(keys))
-	for i, key := range keys {
-		for _, s := range servers {
-			if s.version[model] < newest {
-				continue
-			}
-			if homes[i] == nil || s.rank(key) > homes[i].rank(key) {
-				homes[i] = s
-			}
-		}
-	}
-	return homes
-}
-
-func (f *Fleet) weigh(now time.Time, r Request, s *server, keys []uint64, homes []*server) candidate {
+func (f *Fleet) weigh(now time.Time, r Request, s *server, p *prompt) candidate {
 	c := candidate{server: s, version: s.version[r.Model]}
 	load := float64(s.inFlight) + s.others(now)
 	if r.Model == "" {
 		c.cost = time.Duration(float64(slotCost) * load / float64(max(s.Slots, 1)))
 	} else {
-		c.depth = s.parts.depth(keys)
-		c.cached = tokensOf(r.Parts[:c.depth])
-		promised := 0.0
-		for i := c.depth; i < len(homes); i++ {
-			if homes[i] == s {
-				promised += homePromise * float64(tokensOf(r.Parts[c.depth:i+1]))
-				break
-			}
-		}
-		missing := max(0, float64(r.PromptTokens-c.cached)-promised)
-		c.cost = f.reading(missing+float64(s.pendingTokens)) + time.Duration(load*float64(requestCost))
+		c.work = p.work(now, s)
+		c.cost = f.reading(c.work.read+float64(s.pendingTokens)+c.work.again*againWeight) + time.Duration(load*float64(requestCost))
 		if bound := f.cacheTokens(r.Pool); bound > 0 && s.heldTokens+r.PromptTokens > int(fullMemory*float64(bound)) {
 			c.cost += fullCost
 		}
@@ -227,29 +192,28 @@
 	return time.Duration(tokens / f.rate * float64(time.Second))
 }
 
-func (f *Fleet) choose(now time.Time, r Request, c candidate, eligible []*server, keys []uint64) *Choice {
+func (f *Fleet) choose(now time.Time, r Request, c candidate, p *prompt) *Choice {
 	s := c.server
 	s.inFlight++
 	choice := &Choice{
 		Name:    s.Name,
 		Address: s.Address,
 		Version: c.version,
-		Cached:  c.cached,
-		Missing: max(0, r.PromptTokens-c.cached),
 		Cost:    c.cost,
 		fleet:   f,
 		server:  s,
 		model:   r.Model,
-		keys:    keys,
-		parts:   r.Parts,
+		prompt:  p,
 	}
 	if r.Model == "" {
 		return choice
 	}
+	choice.Cached = tokensOf(r.Parts[:c.work.cached])
+	choice.Missing = int(c.work.read)
 	choice.CacheText = r.Model + "/" + strconv.Itoa(c.version) + "/" + r.scope()
-	choice.FetchFrom = f.fetchFrom(now, r, c, eligible, keys)
-	choice.SaveTo = f.saveTo(now, r, keys, choice.CacheText)
-	choice.tokens = choice.Missing + r.OutputTokens
+	choice.FetchFrom = f.fetchFrom(now, c, p)
+	choice.SaveTo = f.saveTo(now, c.version, p)
+	choice.tokens = r.PromptTokens - choice.Cached + r.OutputTokens
 	s.pendingTokens += choice.Missing
 	s.heldTokens += choice.tokens
 	return choice
