--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -26,6 +26,7 @@
 
 	"amaranthreach.example/core/amrfollow"
 	"amaranthreach.example/core/amrforward"
+	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrorder"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrpool"
@@ -55,6 +56,7 @@
 	Host             string // Name of the router's host.
 	AvailabilityZone string
 	PeersAddress     string   // Where this router serves its copies; empty for nowhere.
+	NoticesAddress   string   // Where it receives notices of other routers; empty for nowhere.
 	Seeds            []string // Where some routers served theirs when the host started.
 	Bounds           Bounds
 	PrefillRate      float64 // Prompt tokens that an engine reads in a second.
@@ -73,6 +75,7 @@
 	beliefs   *beliefs
 	rollout   *rollout
 	replicas  *replicas
+	gossip    *amrgossip.Exchange
 	followers []*amrfollow.Follower
 	routers   atomic.Int64
 	stopping  atomic.Bool
@@ -125,6 +128,7 @@
 	)
 	r.rollout = r.newRollout()
 	r.beliefs = &beliefs{decoder: ports.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout}
+	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, r.fleet, r.clock, r.log)
 	r.follow()
 	r.register(r.registry)
 	return r
@@ -135,6 +139,7 @@
 		amrpool.WithAvailabilityZone(r.settings.AvailabilityZone),
 		amrpool.WithStaleWeights(r.settings.Bounds.StaleAfter, r.settings.Bounds.StaleLimit),
 		amrpool.WithCacheTokens(r.cacheTokens),
+		amrpool.WithClock(r.clock),
 	}
 	if r.settings.PrefillRate > 0 {
 		options = append(options, amrpool.WithPrefillRate(r.settings.PrefillRate))
@@ -260,13 +265,14 @@
 		group.Go(func() error { return f.Run(ctx) })
 	}
 	group.Go(func() error { return r.registerSelf(ctx) })
+	group.Go(func() error { return r.gossip.Run(ctx) })
 	return group.Wait()
 }
 
 // shared takes in the rows that the routers share.
 func (r *Router) shared(u amrfollow.Update) {
 	r.rollout.shared(u)
-	var hosts, addresses []string
+	var hosts, addresses, notices []string
 	for _, row := range r.replicas.followers[tableShared].Copy().Rows() {
 		host, ok := strings.CutPrefix(row.Key, routerPrefix)
 		if !ok {
@@ -278,6 +284,7 @@
 			continue
 		}
 		hosts = append(hosts, host)
+		notices = append(notices, registration.Notices)
 		if registration.Address != "" {
 			addresses = append(addresses, registration.Address)
 		}
@@ -288,16 +295,18 @@
 	r.routers.Store(int64(len(hosts)))
 	r.rollout.setRank(max(0, slices.Index(hosts, r.settings.Host)))
 	r.replicas.setAddresses(addresses)
+	r.gossip.SetPeers(notices)
 }
 
 // registration is the value of the row in which a router registers.
 type registration struct {
-	Address string `json:"address"`
+	Address string `json:"address"` // Where it serves its copies.
+	Notices string `json:"notices"` // Where it receives notices.
 }
 
 // registerSelf writes this router's registration.
 func (r *Router) registerSelf(ctx context.Context) error {
-	value, err := json.Marshal(registration{Address: r.settings.PeersAddress})
+	value, err := json.Marshal(registration{Address: r.settings.PeersAddress, Notices: r.settings.NoticesAddress})
 	if err != nil {
 		panic(err) // A string can always be encoded.
 	}
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -26,6 +26,10 @@
 	// weights is looked at again, and pollLimit the longest time this is done.
 	pollPool  = 20 * time.Millisecond
 	pollLimit = 250 * time.Millisecond
+
+	// partsLimit is the longest time for which a request waits for another one
+	// that reads parts of its prompt.
+	partsLimit = 300 * time.Millisecond
 )
 
 // exchange is one request with what became of it so far.
@@ -42,6 +46,7 @@
 	repeatable bool
 	until      time.Time
 
+	impatient  bool // It does not wait for other requests any more.
 	excluded   []string
 	sends      []send
 	ran        int // Sends after which the request may have run.
@@ -91,9 +96,13 @@
 		if choice != nil {
 			return choice, nil
 		}
-		if reason != amrpool.AllChanging || now.Sub(start) >= pollLimit {
+		if reason != amrpool.AllChanging && reason != amrpool.PartsPending || reason == amrpool.AllChanging && now.Sub(start) >= pollLimit {
 			return nil, x.unserved(reason)
 		}
+		if reason == amrpool.PartsPending && now.Sub(start) >= partsLimit {
+			x.impatient = true
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return nil, x.ended(ctx)
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -184,7 +184,7 @@
 
 // poolRequest is what the fleet is asked for.
 func (x *exchange) poolRequest() amrpool.Request {
-	r := amrpool.Request{Pool: x.pool, Exclude: x.excluded}
+	r := amrpool.Request{Pool: x.pool, Exclude: x.excluded, Impatient: x.impatient}
 	if x.request.Model == "" {
 		return r
 	}
--- /dev/null
+++ b/core/amrgossip/exchange.go
@@ -0,0 +1,199 @@
+// Package amrgossip lets routers tell one another at once what each decides by:
+// the requests it has at each backend server, and which prompt parts are being
+// read or are in a store.
+//
+// Notices go by datagram and are never repeated. A lost one makes a choice
+// worse, never wrong.
+package amrgossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// tick is the time between two notices of loads.
+	tick = 50 * time.Millisecond
+
+	// maxDatagram is the size of the largest datagram, so that it travels in
+	// one packet.
+	maxDatagram = 1400
+
+	// maxLoads and maxParts bound what one notice tells.
+	maxLoads = 60
+	maxParts = 40
+)
+
+// Notice is what a router tells the others.
+type Notice struct {
+	_     struct{} `cbor:",toarray"`
+	From  string   // Name of the router's host.
+	Loads []Load
+	Parts []Part
+}
+
+// Load is the requests of a router at one backend server.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	Server   uint64   // Hash of its name.
+	InFlight int
+	Pending  int // Prompt tokens sent that are not known to be read.
+}
+
+// Part is the state of a prompt part.
+type Part struct {
+	_       struct{} `cbor:",toarray"`
+	Version int      // Of the weights it is made under.
+	Key     uint64
+	State   PartState
+	Server  uint64 // Hash of the name of the server that has it cached; 0 otherwise.
+	Tokens  int
+}
+
+// PartState says where a part is.
+type PartState int
+
+// The states of a part.
+const (
+	Reading PartState = iota // A server reads it.
+	Stored                   // It is in a store.
+	Cached                   // A server has it cached.
+)
+
+// Beliefs are what notices are made of, and what they change.
+type Beliefs interface {
+	// Notices returns the loads that changed and the parts to be told of since
+	// the last call.
+	Notices() ([]Load, []Part)
+
+	// Heard takes in a notice of another router.
+	Heard(now time.Time, n Notice)
+
+	// PartsChanged returns a channel that is ready when parts are to be told
+	// of at once.
+	PartsChanged() <-chan struct{}
+}
+
+// Exchange sends and receives notices. Create it with New.
+type Exchange struct {
+	own     string
+	address string
+	beliefs Beliefs
+	clock   clockwork.Clock
+	log     *slog.Logger
+
+	mu    sync.Mutex
+	peers []*net.UDPAddr
+}
+
+// New returns an exchange of the router on the named host, which receives at
+// the address.
+func New(own, address string, beliefs Beliefs, clock clockwork.Clock, log *slog.Logger) *Exchange {
+	return &Exchange{own: own, address: address, beliefs: beliefs, clock: clock, log: log}
+}
+
+// SetPeers sets where the other routers receive.
+func (e *Exchange) SetPeers(addresses []string) {
+	var peers []*net.UDPAddr
+	for _, address := range addresses {
+		if address == e.address || address == "" {
+			continue
+		}
+		peer, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			e.log.Warn("a router registered an address that cannot be used, it gets no notices", "address", address, "err", err)
+			continue
+		}
+		peers = append(peers, peer)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers = peers
+}
+
+// Run sends and receives until ctx is done.
+func (e *Exchange) Run(ctx context.Context) error {
+	if e.address == "" {
+		return nil
+	}
+	address, err := net.ResolveUDPAddr("udp", e.address)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		e.log.Error("cannot receive notices of other routers, load is estimated", "address", e.address, "err", err)
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // Ends receive.
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return e.receive(ctx, conn) })
+	group.Go(func() error { return e.send(ctx, conn) })
+	return group.Wait()
+}
+
+func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		n, _, err := conn.ReadFromUDP(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				e.log.Debug("cannot receive a notice", "err", err)
+			}
+			continue
+		}
+		var notice Notice
+		if err := cbor.Unmarshal(buffer[:n], &notice); err != nil {
+			e.log.Warn("cannot read a notice of a router, ignored", "err", err)
+			continue
+		}
+		if notice.From != e.own {
+			e.beliefs.Heard(e.clock.Now(), notice)
+		}
+	}
+	return nil
+}
+
+func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
+	ticker := e.clock.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		case <-e.beliefs.PartsChanged():
+		}
+		loads, parts := e.beliefs.Notices()
+		for len(loads) > 0 || len(parts) > 0 {
+			n, m := min(len(loads), maxLoads), min(len(parts), maxParts)
+			e.tell(conn, Notice{From: e.own, Loads: loads[:n], Parts: parts[:m]})
+			loads, parts = loads[n:], parts[m:]
+		}
+	}
+}
+
+func (e *Exchange) tell(conn *net.UDPConn, notice Notice) {
+	data, err := cbor.Marshal(notice)
+	if err != nil || len(data) > maxDatagram {
+		e.log.Error("cannot send a notice", "bytes", len(data), "err", err)
+		return
+	}
+	e.mu.Lock()
+	peers := slices.Clone(e.peers)
+	e.mu.Unlock()
+	for _, peer := range peers {
+		if _, err := conn.WriteToUDP(data, peer); err != nil {
+			e.log.Debug("cannot send a notice", "peer", peer.String(), "err", err)
+		}
+	}
+}
--- a/core/amrpool/choice.go
+++ b/core/amrpool/choice.go
@@ -1,6 +1,10 @@
 package amrpool
 
-import "time"
+import (
+	"time"
+
+	"amaranthreach.example/core/amrgossip"
+)
 
 // Result says what became of a request at a server.
 type Result int
@@ -40,9 +44,11 @@
 	s.pendingTokens -= c.Missing
 	if s.version[c.model] == c.Version {
 		s.parts.add(now, c.prompt.keys, c.prompt.parts)
+		f.notify(c.Version, c.prompt, 0, amrgossip.Cached, s)
 	}
 	if c.SaveTo != "" {
 		f.store.saved(now, c.Version, c.prompt.keys[:c.prompt.shared])
+		f.notify(c.Version, c.prompt, 0, amrgossip.Stored, nil)
 	}
 }
 
--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -11,6 +11,10 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"amaranthreach.example/core/amrgossip"
 )
 
 // Fleet is the backend servers of all pools. It is safe for concurrent use.
@@ -23,7 +27,13 @@
 	byName      map[string]*server
 	pools       map[string][]*server
 	targets     map[string]target
+	byHash      map[uint64]*server
 	store       storeParts
+	clock       clockwork.Clock
+
+	gossipAt     time.Time // When another router was last heard.
+	notices      []amrgossip.Part
+	partsChanged chan struct{}
 
 	staleAfter time.Duration // Since a version was named, until older ones are taken for costly.
 	staleLimit time.Duration // The same, until they may not be used.
@@ -73,6 +83,11 @@
 	return func(f *Fleet) { f.cacheTokens = cacheTokens }
 }
 
+// WithClock replaces the real clock, by which notices are repeated.
+func WithClock(c clockwork.Clock) Option {
+	return func(f *Fleet) { f.clock = c }
+}
+
 // WithStaleWeights sets how long after new weights were named older ones are
 // as good, and how long they may be used at all.
 func WithStaleWeights(after, limit time.Duration) Option {
@@ -91,9 +106,13 @@
 		byName:      make(map[string]*server),
 		pools:       make(map[string][]*server),
 		targets:     make(map[string]target),
+		byHash:      make(map[uint64]*server),
 		store:       newStoreParts(),
-		staleAfter:  1500 * time.Millisecond,
-		staleLimit:  7 * time.Second,
+		clock:       clockwork.NewRealClock(),
+
+		partsChanged: make(chan struct{}, 1),
+		staleAfter:   1500 * time.Millisecond,
+		staleLimit:   7 * time.Second,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -119,6 +138,7 @@
 	}
 	s = newServer(now, l, f.cacheTokens(l.Pool))
 	f.byName[l.Name] = s
+	f.byHash[s.hash] = s
 	f.pools[l.Pool] = append(f.pools[l.Pool], s)
 }
 
@@ -146,6 +166,7 @@
 
 func (f *Fleet) remove(s *server) {
 	delete(f.byName, s.Name)
+	delete(f.byHash, s.hash)
 	servers := f.pools[s.Pool]
 	for i, other := range servers {
 		if other == s {
@@ -252,7 +273,7 @@
 			Gone:     s.isGone(now),
 			Version:  versions,
 			InFlight: s.inFlight,
-			Load:     float64(s.inFlight) + s.others(now),
+			Load:     f.requests(now, s),
 			Faults:   s.evidence(now),
 		})
 	}
--- /dev/null
+++ b/core/amrpool/gossip.go
@@ -0,0 +1,138 @@
+package amrpool
+
+import (
+	"time"
+
+	"amaranthreach.example/core/amrgossip"
+)
+
+const (
+	// heardFor is how long the load that another router told of counts. A
+	// router repeats it before.
+	heardFor = 700 * time.Millisecond
+
+	// repeatAfter is the time after which an unchanged load is told again.
+	repeatAfter = 300 * time.Millisecond
+
+	// toldTokens is the least size of a part whose place others are told.
+	toldTokens = 500
+)
+
+// told is the load that this router told others of last.
+type told struct {
+	inFlight int
+	pending  int
+	at       time.Time
+}
+
+// heard is the load that another router told of.
+type heard struct {
+	inFlight int
+	pending  int
+	at       time.Time
+}
+
+// Notices returns the loads that changed and the parts to be told of since the
+// last call.
+func (f *Fleet) Notices() ([]amrgossip.Load, []amrgossip.Part) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	var loads []amrgossip.Load
+	for _, s := range f.byName {
+		if load, due := s.tell(now); due {
+			loads = append(loads, load)
+		}
+	}
+	parts := f.notices
+	f.notices = nil
+	return loads, parts
+}
+
+// PartsChanged returns a channel that is ready when parts are to be told of.
+func (f *Fleet) PartsChanged() <-chan struct{} {
+	return f.partsChanged
+}
+
+// tell returns the load to be told of, and whether it is due.
+func (s *server) tell(now time.Time) (amrgossip.Load, bool) {
+	same := s.inFlight == s.told.inFlight && s.pendingTokens == s.told.pending
+	idle := s.inFlight == 0 && s.pendingTokens == 0
+	if same && (idle || now.Sub(s.told.at) < repeatAfter) {
+		return amrgossip.Load{}, false
+	}
+	s.told = told{inFlight: s.inFlight, pending: s.pendingTokens, at: now}
+	return amrgossip.Load{Server: s.hash, InFlight: s.inFlight, Pending: s.pendingTokens}, true
+}
+
+// Heard takes in a notice of another router.
+func (f *Fleet) Heard(now time.Time, n amrgossip.Notice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gossipAt = now
+	for _, load := range n.Loads {
+		if s := f.byHash[load.Server]; s != nil {
+			s.heard[n.From] = heard{inFlight: load.InFlight, pending: load.Pending, at: now}
+		}
+	}
+	for _, part := range n.Parts {
+		f.heardPart(now, part)
+	}
+}
+
+// heardPart takes in where another router says that a part is.
+func (f *Fleet) heardPart(now time.Time, part amrgossip.Part) {
+	key := storeKey{part.Version, part.Key}
+	switch part.State {
+	case amrgossip.Cached:
+		if s := f.byHash[part.Server]; s != nil {
+			s.parts.use(now, part.Key, part.Tokens)
+		}
+	case amrgossip.Stored:
+		f.store.parts.Add(key, storedPart{saving: now, stored: now})
+	case amrgossip.Reading:
+		if old, ok := f.store.parts.Peek(key); !ok || old.stored.IsZero() {
+			f.store.parts.Add(key, storedPart{saving: now})
+		}
+	}
+}
+
+// notify has the others told that the shared parts of the prompt from the
+// given one on are in the state.
+func (f *Fleet) notify(version int, p *prompt, from int, state amrgossip.PartState, s *server) {
+	for i := from; i < p.shared; i++ {
+		part := amrgossip.Part{Version: version, Key: p.keys[i], State: state, Tokens: p.parts[i].Tokens}
+		if state == amrgossip.Cached {
+			if part.Tokens < toldTokens {
+				continue
+			}
+			part.Server = s.hash
+		}
+		f.notices = append(f.notices, part)
+	}
+	if state == amrgossip.Cached {
+		return // It goes with the next notice of loads.
+	}
+	select {
+	case f.partsChanged <- struct{}{}:
+	default: // It is to be looked at already.
+	}
+}
+
+// elsewhere returns the requests of other routers at the server and their
+// tokens that are not known to be read. It reports false where no router was
+// heard lately.
+func (f *Fleet) elsewhere(now time.Time, s *server) (inFlight, pending int, ok bool) {
+	if f.gossipAt.IsZero() || now.Sub(f.gossipAt) >= heardFor {
+		return 0, 0, false
+	}
+	for from, h := range s.heard {
+		if now.Sub(h.at) >= heardFor {
+			delete(s.heard, from)
+			continue
+		}
+		inFlight += h.inFlight
+		pending += h.pending
+	}
+	return inFlight, pending, true
+}
--- a/core/amrpool/parts.go
+++ b/core/amrpool/parts.go
@@ -66,12 +66,17 @@
 // add notes that the parts were read or used.
 func (c *partCache) add(now time.Time, keys []uint64, parts []Part) {
 	for i := len(keys) - 1; i >= 0; i-- {
-		if old, ok := c.lru.Peek(keys[i]); ok {
-			c.tokens -= old.tokens
-		}
-		c.lru.Add(keys[i], cachedPart{tokens: parts[i].Tokens, usedAt: now})
-		c.tokens += parts[i].Tokens
+		c.use(now, keys[i], parts[i].Tokens)
+	}
+}
+
+// use notes that the part was read or used.
+func (c *partCache) use(now time.Time, key uint64, tokens int) {
+	if old, ok := c.lru.Peek(key); ok {
+		c.tokens -= old.tokens
 	}
+	c.lru.Add(key, cachedPart{tokens: tokens, usedAt: now})
+	c.tokens += tokens
 	for c.bound > 0 && c.tokens > c.bound && c.lru.Len() > 0 {
 		c.lru.RemoveOldest()
 	}
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -25,7 +25,7 @@
 
 	// transferCost is the share of the time of reading a part that it takes to
 	// transfer it from another engine or a store.
-	transferCost = 0.25
+	transferCost = 1.0
 
 	// againWeight is what it costs to read parts that another engine reads or
 	// has read, as a multiple of the time it takes: it also takes memory from
@@ -48,6 +48,7 @@
 	Team         string
 	Isolated     bool     // Shares no cached parts with other teams.
 	Exclude      []string // Names of servers that have failed or rejected it.
+	Impatient    bool     // It does not wait for parts that another request reads.
 }
 
 // shared returns how many leading parts other requests may share. The last
@@ -95,11 +96,12 @@
 	StaleWeights               // All that may have weights that are too old.
 	AllChanging                // All that may are changing their weights.
 	AllExcluded                // All that may have failed or rejected the request.
+	PartsPending               // Another request reads parts of the prompt just now.
 )
 
 // String returns the reason as it appears in logs.
 func (r Reason) String() string {
-	return [...]string{"no-server", "stale-weights", "all-changing", "all-excluded"}[r]
+	return [...]string{"no-server", "stale-weights", "all-changing", "all-excluded", "parts-pending"}[r]
 }
 
 // candidate is a server with what choosing it would mean.
@@ -127,6 +129,9 @@
 			best = c
 		}
 	}
+	if !r.Impatient && f.partsPending(now, best, p) {
+		return nil, PartsPending
+	}
 	return f.choose(now, r, best, p), 0
 }
 
@@ -167,12 +172,12 @@
 
 func (f *Fleet) weigh(now time.Time, r Request, s *server, p *prompt) candidate {
 	c := candidate{server: s, version: s.version[r.Model]}
-	load := float64(s.inFlight) + s.others(now)
+	load := f.requests(now, s)
 	if r.Model == "" {
 		c.cost = time.Duration(float64(slotCost) * load / float64(max(s.Slots, 1)))
 	} else {
 		c.work = p.work(now, s)
-		c.cost = f.reading(c.work.read+float64(s.pendingTokens)+c.work.again*againWeight) + time.Duration(load*float64(requestCost))
+		c.cost = f.reading(c.work.read+float64(f.pending(now, s))+c.work.again*againWeight) + time.Duration(load*float64(requestCost))
 		if bound := f.cacheTokens(r.Pool); bound > 0 && s.heldTokens+r.PromptTokens > int(fullMemory*float64(bound)) {
 			c.cost += fullCost
 		}
@@ -187,6 +192,22 @@
 	return c
 }
 
+// requests returns the requests in progress at the server. Those of other
+// routers are estimated where they do not tell.
+func (f *Fleet) requests(now time.Time, s *server) float64 {
+	if inFlight, _, ok := f.elsewhere(now, s); ok {
+		return float64(s.inFlight + inFlight)
+	}
+	return float64(s.inFlight) + s.others(now)
+}
+
+// pending returns the prompt tokens sent to the server that are not known to
+// be read.
+func (f *Fleet) pending(now time.Time, s *server) int {
+	_, pending, _ := f.elsewhere(now, s)
+	return s.pendingTokens + pending
+}
+
 // reading returns the time in which an engine reads the tokens of a prompt.
 func (f *Fleet) reading(tokens float64) time.Duration {
 	return time.Duration(tokens / f.rate * float64(time.Second))
--- a/core/amrpool/prompt.go
+++ b/core/amrpool/prompt.go
@@ -19,7 +19,6 @@
 	stored   map[int]int     // Leading shared parts in the store, by version.
 	homes    []*server       // By shared part; nil until asked for.
 	fresh    map[*server]int // Leading shared parts that each server used a moment ago.
-	deepest  *server         // With the most of them.
 }
 
 // work is what a server would have to do for a prompt.
@@ -51,9 +50,6 @@
 			p.stored[version] = f.store.depth(now, version, p.keys[:p.shared])
 		}
 		p.fresh[s] = min(s.parts.freshDepth(now.Add(-peerFresh), p.keys), p.shared)
-		if p.deepest == nil || p.fresh[s] > p.fresh[p.deepest] {
-			p.deepest = s
-		}
 	}
 	return p
 }
@@ -61,12 +57,37 @@
 // fetchable returns how many leading shared parts the server can fetch.
 func (p *prompt) fetchable(s *server) int {
 	depth := p.stored[s.version[p.model]]
-	if p.deepest != s && p.deepest.version[p.model] == s.version[p.model] {
-		depth = max(depth, p.fresh[p.deepest])
+	if source := p.source(s); source != nil {
+		depth = max(depth, p.fresh[source])
 	}
 	return depth
 }
 
+// source returns the server from which another one fetches parts best: with
+// the same weights and the most parts, in its availability zone where there is
+// one. It returns nil where none has any.
+func (p *prompt) source(to *server) *server {
+	var best *server
+	for _, s := range p.eligible {
+		if s == to || p.fresh[s] == 0 || s.version[p.model] != to.version[p.model] {
+			continue
+		}
+		if best == nil || p.fresh[s] > p.fresh[best] || p.fresh[s] == p.fresh[best] && p.nearer(to, s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+// nearer reports whether a is better to fetch from than b.
+func (p *prompt) nearer(to, a, b *server) bool {
+	if near := a.AvailabilityZone == to.AvailabilityZone; near != (b.AvailabilityZone == to.AvailabilityZone) {
+		return near
+	}
+	last := p.keys[len(p.keys)-1] // Spreads the transfers over equal sources.
+	return a.rank(last) > b.rank(last)
+}
+
 // work returns what the server would have to do for the prompt.
 func (p *prompt) work(now time.Time, s *server) work {
 	w := work{cached: min(s.parts.freshDepth(now.Add(-cachedFor), p.keys), len(p.keys))}
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -62,6 +62,9 @@
 	pendingTokens int // Prompt tokens sent that are not known to be read.
 	heldTokens    int // Tokens of requests in flight.
 
+	told  told
+	heard map[string]heard // By the router that told it.
+
 	load       Load
 	loadAt     time.Time
 	ownAtLoad  int
@@ -79,6 +82,7 @@
 		version: make(map[string]int),
 		updated: make(map[string]time.Time),
 		parts:   newPartCache(cacheTokens),
+		heard:   make(map[string]heard),
 	}
 	s.list(now, l)
 	return s
--- a/core/amrpool/store.go
+++ b/core/amrpool/store.go
@@ -5,13 +5,14 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrroute"
 )
 
 const (
 	// peerFresh is how long ago an engine must have used parts at most to be
 	// asked for them: later they may be evicted.
-	peerFresh = 2 * time.Second
+	peerFresh = 4 * time.Second
 
 	// cachedFor is how long after their last use parts are taken to be cached.
 	cachedFor = 8 * time.Second
@@ -27,8 +28,15 @@
 	// again by another request.
 	saveTimeout = 2 * time.Second
 
-	// storedFor is how long parts are taken to be in the store.
-	storedFor = 15 * time.Second
+	// readingTime is how long parts are waited for that another request reads,
+	// and pendingTokens the least number of tokens that are worth it.
+	readingTime   = 350 * time.Millisecond
+	pendingTokens = 1000
+
+	// storedFor is how long parts are taken to be in the store, and renewAfter
+	// the time after which they are saved again in case it dropped them.
+	storedFor  = time.Minute
+	renewAfter = 40 * time.Second
 )
 
 // storeParts remembers which parts are in the stores of cached parts.
@@ -98,8 +106,7 @@
 	if p.shared == 0 {
 		return ""
 	}
-	source := p.deepest
-	if source != c.server && source.version[p.model] == c.version && p.fresh[source] > max(p.stored[c.version], p.fresh[c.server]) {
+	if source := p.source(c.server); source != nil && p.fresh[source] > p.fresh[c.server] && p.fresh[source] >= p.stored[c.version] {
 		return source.Address
 	}
 	return f.storeAddress()
@@ -108,17 +115,46 @@
 // saveTo returns the address of the store that is to get the parts, or "".
 func (f *Fleet) saveTo(now time.Time, version int, p *prompt) string {
 	address := f.storeAddress()
-	if address == "" || p.shared == 0 || p.stored[version] == p.shared {
+	if address == "" || p.shared == 0 {
 		return ""
 	}
 	key := storeKey{version, p.keys[p.shared-1]}
-	if part, ok := f.store.parts.Peek(key); ok && now.Sub(part.saving) < saveTimeout {
+	part, ok := f.store.parts.Peek(key)
+	switch {
+	case ok && now.Sub(part.saving) < saveTimeout:
+		return ""
+	case p.stored[version] < p.shared:
+	case now.Sub(part.saving) < renewAfter:
 		return ""
+	default:
+		part.saving = now
+		f.store.parts.Add(key, part)
+		return address
 	}
-	f.store.parts.Add(key, storedPart{saving: now})
+	for _, k := range p.keys[p.stored[version]:p.shared] {
+		f.store.parts.Add(storeKey{version, k}, storedPart{saving: now})
+	}
+	f.notify(version, p, p.stored[version], amrgossip.Reading, nil)
 	return address
 }
 
+// partsPending reports whether another request reads many shared tokens just
+// now that the chosen server would have to read too.
+func (f *Fleet) partsPending(now time.Time, c candidate, p *prompt) bool {
+	if len(f.store.stores) == 0 || p.shared == 0 {
+		return false
+	}
+	have := max(min(c.work.cached, p.shared), p.fetchable(c.server))
+	tokens := 0
+	for i := have; i < p.shared; i++ {
+		part, ok := f.store.parts.Peek(storeKey{c.version, p.keys[i]})
+		if ok && part.stored.IsZero() && now.Sub(part.saving) < readingTime || ok && now.Before(part.stored) {
+			tokens += p.parts[i].Tokens
+		}
+	}
+	return tokens >= pendingTokens
+}
+
 // saved notes that the shared parts are in the store soon.
 func (s *storeParts) saved(now time.Time, version int, keys []uint64) {
 	for _, key := range keys {
