--- /dev/null
+++ b/core/amrorder/upgrade_test.go
@@ -0,0 +1,59 @@
+package amrorder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrorder"
+)
+
+func engines(n int) []amrorder.UpgradeServer {
+	servers := make([]amrorder.UpgradeServer, n)
+	for i := range servers {
+		servers[i] = amrorder.UpgradeServer{Name: fmt.Sprintf("e%02d", i), Version: 1, Load: float64(n - i)}
+	}
+	return servers
+}
+
+// TestUpgradeKeepsCapacity checks that a third of a pool at most changes at
+// once, those with the least work first, and that a newer version takes the
+// place of one that is not loaded yet.
+func TestUpgradeKeepsCapacity(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	u := amrorder.NewUpgrade()
+	servers := engines(12)
+	is.True(!u.Wanted(1, servers))
+	is.True(u.Wanted(2, servers))
+	is.Equal(u.Plan(now, 2, servers), []string{"e11", "e10", "e09", "e08"})
+	is.Equal(len(u.Plan(now, 2, servers)), 0)
+
+	servers[11].Version = 2
+	u.Finish(now, "e11", true)
+	is.Equal(u.Plan(now, 3, servers), []string{"e07"}) // The oldest weights go first.
+	is.Equal(u.Running(), []string{"e07", "e08", "e09", "e10"})
+}
+
+// TestUpgradeLeavesOut checks which servers are not ordered.
+func TestUpgradeLeavesOut(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	u := amrorder.NewUpgrade()
+	servers := engines(3)
+	servers[0].Draining = true
+	servers[1].Blocked = true
+	is.Equal(u.Plan(now, 2, servers), []string{"e02"})
+	u.Finish(now, "e02", false)
+	is.Equal(len(u.Plan(now, 2, servers)), 0) // A change that failed is tried again later.
+	is.Equal(u.Plan(now.Add(time.Second), 2, servers), []string{"e02"})
+	u.Finish(now, "e02", true)
+	servers[2].Version = 2
+	servers[1].Blocked = false
+	is.Equal(u.Plan(now, 2, servers), []string{"e01"}) // One at least, however small the pool.
+	is.True(u.Wanted(2, servers))
+	servers[1].Version = 2
+	is.True(!u.Wanted(2, servers)) // A server that leaves needs no new weights.
+}
