--- a/core/amrorder/followed_lease_test.go
+++ b/core/amrorder/followed_lease_test.go
@@ -65,7 +65,7 @@
 			if w.now.Before(h.pausedTo) {
 				continue
 			}
-			switch rapid.SampledFrom([]string{"follow", "write", "arrive", "lose", "answer-lost", "order", "order", "order", "pause", "restart", "resign"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"follow", "take", "take", "write", "arrive", "lose", "answer-lost", "order", "order", "order", "pause", "restart", "resign"}).Draw(t, "step") {
 			case "follow":
 				h.lease.Saw(w.now, w.item)
 			case "write":
@@ -74,6 +74,12 @@
 						h.write = &txn
 					}
 				}
+			case "take": // What it saw, decided and wrote without delay.
+				h.lease.Saw(w.now, w.item)
+				if txn, ok := h.lease.Write(w.now, nil); ok && h.write == nil {
+					h.write = &txn
+					w.arrive(h, true)
+				}
 			case "resign":
 				if h.write == nil {
 					if txn, ok := h.lease.Resign(w.now, nil); ok {
