--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -12,6 +12,7 @@
 	"amaranthreach.example/core/amrpool"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrroute"
+	"amaranthreach.example/core/amrsuspect"
 )
 
 const (
@@ -46,6 +47,8 @@
 	repeatable bool
 	until      time.Time
 
+	fingerprint amrsuspect.Fingerprint
+
 	impatient  bool // It does not wait for other requests any more.
 	excluded   []string
 	sends      []send
@@ -96,12 +99,15 @@
 		if choice != nil {
 			return choice, nil
 		}
-		if reason != amrpool.AllChanging && reason != amrpool.PartsPending || reason == amrpool.AllChanging && now.Sub(start) >= pollLimit {
-			return nil, x.unserved(reason)
-		}
-		if reason == amrpool.PartsPending && now.Sub(start) >= partsLimit {
+		switch {
+		case reason == amrpool.PartsPending && now.Sub(start) < partsLimit:
+		case reason == amrpool.PartsPending:
 			x.impatient = true
 			continue
+		case reason == amrpool.AllChanging && now.Sub(start) < pollLimit:
+		case reason == amrpool.NoServer && now.Sub(x.f.started) < x.f.warmUp:
+		default:
+			return nil, x.unserved(reason)
 		}
 		select {
 		case <-ctx.Done():
@@ -134,7 +140,7 @@
 // ended is the refusal of a request whose caller left or whose time is over.
 func (x *exchange) ended(ctx context.Context) *refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return x.refusal(amrreason.DeadlineExceeded, 0, "time is over")
+		return x.refusal(amrreason.DeadlineExceeded, busyRetry, "time is over")
 	}
 	return x.refusal(amrreason.Canceled, 0, "caller left")
 }
@@ -217,6 +223,7 @@
 		return x.again(true, amrreason.EngineUnavailable)
 	}
 	x.note(choice, start, amrpool.Failed, err.Error())
+	x.judge(x.f.clock.Now(), amrpool.Failed)
 	return x.again(false, amrreason.EngineLost)
 }
 
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -17,10 +17,12 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrpool"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrretry"
 	"amaranthreach.example/core/amrroute"
+	"amaranthreach.example/core/amrsuspect"
 )
 
 // Backend sends requests to backend servers.
@@ -49,10 +51,19 @@
 	routers func() int // Number of routers that share the bounds.
 	table   atomic.Pointer[amrroute.Table]
 
+	started time.Time
+	warmUp  time.Duration
+	strikes *amrsuspect.Strikes
+
 	mu      sync.Mutex
 	windows map[string]*amrretry.Window // By pool.
+	told    []amrgossip.Strike          // That other routers are still to be told of.
 }
 
+// DefaultWarmUp is the time after its start in which a router waits for what it
+// has to know before it refuses a request.
+const DefaultWarmUp = 400 * time.Millisecond
+
 // Option configures a Forwarder.
 type Option func(*Forwarder)
 
@@ -77,6 +88,11 @@
 	return func(f *Forwarder) { f.bounds, f.routers = b, routers }
 }
 
+// WithWarmUp replaces DefaultWarmUp.
+func WithWarmUp(d time.Duration) Option {
+	return func(f *Forwarder) { f.warmUp = d }
+}
+
 // New returns a Forwarder that refuses all requests until it has a table.
 func New(fleet *amrpool.Fleet, backend Backend, opts ...Option) *Forwarder {
 	f := &Forwarder{
@@ -88,10 +104,13 @@
 		bounds:  RetryBounds{Ratio: 0.1, Window: 10 * time.Second},
 		routers: func() int { return 1 },
 		windows: make(map[string]*amrretry.Window),
+		strikes: amrsuspect.NewStrikes(),
+		warmUp:  DefaultWarmUp,
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.started = f.clock.Now()
 	return f
 }
 
@@ -118,7 +137,7 @@
 
 // Serve answers the request. The context must end when the caller leaves.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
-	x := &exchange{f: f, w: w, request: r, table: f.Table()}
+	x := &exchange{f: f, w: w, request: r, table: f.awaitTable(ctx)}
 	refusal := x.admit()
 	if refusal == nil {
 		refusal = x.run(ctx)
@@ -132,6 +151,22 @@
 	}
 }
 
+// awaitTable returns the routes in force. A router that has just started waits
+// for them a moment.
+func (f *Forwarder) awaitTable(ctx context.Context) *amrroute.Table {
+	for {
+		table := f.Table()
+		if table != nil || f.clock.Since(f.started) >= f.warmUp {
+			return table
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.clock.After(pollPool):
+		}
+	}
+}
+
 // admit finds the route, team and pool of the request.
 func (x *exchange) admit() *refusal {
 	if x.table == nil {
@@ -152,6 +187,10 @@
 	}
 	x.pool = x.route.PoolOf(x.request.ID)
 	x.repeatable = x.route.Repeatable()
+	x.fingerprint = amrsuspect.FingerprintOf(x.request.Key, x.request.Method, x.request.Target, string(x.request.Body))
+	if x.f.strikes.Quarantined(x.request.Arrived, x.fingerprint) {
+		return &refusal{code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: amrsuspect.StrikeTime}
+	}
 	x.until = x.request.Arrived.Add(x.route.Timeout)
 	if p := x.request.Patience; p > 0 && p < x.route.Timeout {
 		x.until = x.request.Arrived.Add(p)
--- a/core/amrforward/refusal.go
+++ b/core/amrforward/refusal.go
@@ -33,8 +33,9 @@
 		}
 		return http.StatusBadGateway
 	}
-	if r.code == amrreason.DeadlineExceeded {
-		return http.StatusServiceUnavailable
+	switch r.code {
+	case amrreason.DeadlineExceeded, amrreason.Quarantined:
+		return http.StatusServiceUnavailable // It may be sent again later.
 	}
 	return amrreason.Of(r.code).Status
 }
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -27,9 +27,10 @@
 	// one packet.
 	maxDatagram = 1400
 
-	// maxLoads and maxParts bound what one notice tells.
-	maxLoads = 60
-	maxParts = 40
+	// maxLoads, maxParts and maxStrikes bound what one notice tells.
+	maxLoads   = 40
+	maxParts   = 25
+	maxStrikes = 8
 )
 
 // Notice is what a router tells the others.
@@ -38,6 +39,16 @@
 	From  string   // Name of the router's host.
 	Loads []Load
 	Parts []Part
+
+	Strikes []Strike
+}
+
+// Strike says that a run of a request broke off with its backend server, or
+// that the request ran well and its strikes are forgotten.
+type Strike struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint [16]byte
+	Cleared     bool
 }
 
 // Load is the requests of a router at one backend server.
@@ -70,9 +81,9 @@
 
 // Beliefs are what notices are made of, and what they change.
 type Beliefs interface {
-	// Notices returns the loads that changed and the parts to be told of since
-	// the last call.
-	Notices() ([]Load, []Part)
+	// Notices returns the loads that changed and the parts and strikes to be
+	// told of since the last call.
+	Notices() ([]Load, []Part, []Strike)
 
 	// Heard takes in a notice of another router.
 	Heard(now time.Time, n Notice)
@@ -173,11 +184,11 @@
 		case <-ticker.Chan():
 		case <-e.beliefs.PartsChanged():
 		}
-		loads, parts := e.beliefs.Notices()
-		for len(loads) > 0 || len(parts) > 0 {
-			n, m := min(len(loads), maxLoads), min(len(parts), maxParts)
-			e.tell(conn, Notice{From: e.own, Loads: loads[:n], Parts: parts[:m]})
-			loads, parts = loads[n:], parts[m:]
+		loads, parts, strikes := e.beliefs.Notices()
+		for len(loads) > 0 || len(parts) > 0 || len(strikes) > 0 {
+			n, m, k := min(len(loads), maxLoads), min(len(parts), maxParts), min(len(strikes), maxStrikes)
+			e.tell(conn, Notice{From: e.own, Loads: loads[:n], Parts: parts[:m], Strikes: strikes[:k]})
+			loads, parts, strikes = loads[n:], parts[m:], strikes[k:]
 		}
 	}
 }
--- a/core/amrretry/window_test.go
+++ b/core/amrretry/window_test.go
@@ -80,7 +80,7 @@
 		allowed++
 	}
 	is.Equal(allowed, 3) // A fourth of the slack.
-	for range 150 { // 10 requests a second.
+	for range 150 {      // 10 requests a second.
 		now = now.Add(100 * time.Millisecond)
 		w.First(now)
 	}
