--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -191,7 +191,8 @@
 	for name, values := range a.Header {
 		header[name] = values
 	}
-	if a.Length >= 0 && !(x.route.Kind == amrroute.Stream && x.route.Resumable) {
+	resumable := x.route.Kind == amrroute.Stream && x.route.Resumable // Its length changes when it is resumed.
+	if a.Length >= 0 && !resumable {
 		header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	x.w.WriteHeader(a.Status)
--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -78,7 +78,7 @@
 // roundTrip sends the request and reads the head of its answer.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
 	c.stop = context.AfterFunc(ctx, c.close)
-	if err := c.write(r); err != nil {
+	if err := c.writeRequest(r); err != nil {
 		c.end()
 		return nil, Broken.Wrap(err, "cannot send the request to %s; it may have run", c.address)
 	}
@@ -99,7 +99,7 @@
 	return nil, Broken.New("answers of %s belong to other requests; the request may have run", c.address)
 }
 
-func (c *conn) write(r *Request) error {
+func (c *conn) writeRequest(r *Request) error {
 	var head bytes.Buffer
 	head.Grow(512)
 	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -114,7 +114,7 @@
 	if len(r.Body) <= blockingBytes {
 		defer close(c.sent)
 		head.Write(r.Body)
-		_, err := c.Conn.Write(head.Bytes())
+		_, err := c.Write(head.Bytes())
 		return err
 	}
 	c.writer.Go(func() error {
--- a/core/amrorder/followed_lease_test.go
+++ b/core/amrorder/followed_lease_test.go
@@ -18,12 +18,10 @@
 	followedTTL = 1500 * time.Millisecond
 )
 
-// leaseHost is a host with its candidacy, its own clock, and what it has not
-// seen or sent yet.
+// leaseHost is a host with its candidacy and what it has not sent yet.
 type leaseHost struct {
 	name     string
 	lease    *amrorder.FollowedLease
-	clock    time.Time // Goes on while the host is paused, as the boot clock does.
 	pausedTo time.Time
 	write    *amrplatform.Txn // On its way to the table.
 	starts   int
