--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -16,6 +16,11 @@
 )
 
 const (
+	// waitShare is the longest wait before a prompt is begun to be read, as a
+	// share of the time within which an answer is on time. A request that would
+	// wait longer makes others late without being on time itself.
+	waitShare = 0.6
+
 	// minTimeLeft is the shortest time with which an attempt is started.
 	minTimeLeft = 20 * time.Millisecond
 
@@ -123,7 +128,7 @@
 	if reason == amrpool.StaleWeights {
 		code = amrreason.WrongWeights
 	}
-	if x.rejections > 0 {
+	if x.rejections > 0 || reason == amrpool.Overloaded {
 		code, retry = amrreason.Overloaded, busyRetry
 	}
 	return x.refusal(code, retry, reason.String())
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -231,6 +231,9 @@
 	r.Parts = x.request.Parts
 	r.PromptTokens = x.request.PromptTokens
 	r.OutputTokens = x.request.OutputTokens
+	if len(x.sends) == 0 {
+		r.MaxWait = time.Duration(waitShare * float64(x.route.Goal))
+	}
 	if x.team != nil {
 		r.Team, r.Isolated = x.team.Name, x.team.Isolated
 	}
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -65,7 +65,7 @@
 	Version int      // Of the weights it is made under.
 	Key     uint64
 	State   PartState
-	Server  uint64 // Hash of the name of the server that has it cached; 0 otherwise.
+	Place   uint64 // Hash of the name of the store, or of the server that has it cached.
 	Tokens  int
 }
 
@@ -74,7 +74,7 @@
 
 // The states of a part.
 const (
-	Reading PartState = iota // A server reads it.
+	Reading PartState = iota // A server reads it, and it is to be saved to the store.
 	Stored                   // It is in a store.
 	Cached                   // A server has it cached.
 )
--- a/core/amrgossip/exchange_test.go
+++ b/core/amrgossip/exchange_test.go
@@ -71,7 +71,7 @@
 		teller.loads = append(teller.loads, amrgossip.Load{Server: uint64(i), InFlight: i, Pending: 100 * i})
 	}
 	for i := range parts {
-		teller.parts = append(teller.parts, amrgossip.Part{Version: 3, Key: uint64(i) << 40, State: amrgossip.Cached, Server: 7, Tokens: i})
+		teller.parts = append(teller.parts, amrgossip.Part{Version: 3, Key: uint64(i) << 40, State: amrgossip.Cached, Place: 7, Tokens: i})
 	}
 	for i := range strikes {
 		teller.strikes = append(teller.strikes, amrgossip.Strike{Fingerprint: [16]byte{byte(i)}, Cleared: i%2 == 0})
@@ -104,7 +104,7 @@
 			heardLoads += len(n.Loads)
 			heardStrikes += len(n.Strikes)
 			for _, p := range n.Parts {
-				is.Equal(p, amrgossip.Part{Version: 3, Key: uint64(heardParts) << 40, State: amrgossip.Cached, Server: 7, Tokens: heardParts})
+				is.Equal(p, amrgossip.Part{Version: 3, Key: uint64(heardParts) << 40, State: amrgossip.Cached, Place: 7, Tokens: heardParts})
 				heardParts++
 			}
 		case <-ctx.Done():
--- a/core/amrpool/choice.go
+++ b/core/amrpool/choice.go
@@ -44,11 +44,11 @@
 	s.pendingTokens -= c.Missing
 	if s.version[c.model] == c.Version {
 		s.parts.add(now, c.prompt.keys, c.prompt.parts)
-		f.notify(c.Version, c.prompt, 0, amrgossip.Cached, s)
+		f.notify(c.Version, c.prompt, 0, amrgossip.Cached, s.hash)
 	}
 	if c.SaveTo != "" {
-		f.store.saved(now, c.Version, c.prompt.keys[:c.prompt.shared])
-		f.notify(c.Version, c.prompt, 0, amrgossip.Stored, nil)
+		f.store.saved(now, c.Version, c.prompt)
+		f.notify(c.Version, c.prompt, 0, amrgossip.Stored, c.prompt.store.hash)
 	}
 }
 
--- a/core/amrpool/gossip.go
+++ b/core/amrpool/gossip.go
@@ -82,10 +82,10 @@
 
 // heardPart takes in where another router says that a part is.
 func (f *Fleet) heardPart(now time.Time, part amrgossip.Part) {
-	key := storeKey{part.Version, part.Key}
+	key := storeKey{part.Place, part.Version, part.Key}
 	switch part.State {
 	case amrgossip.Cached:
-		if s := f.byHash[part.Server]; s != nil {
+		if s := f.byHash[part.Place]; s != nil {
 			s.parts.use(now, part.Key, part.Tokens)
 		}
 	case amrgossip.Stored:
@@ -98,15 +98,12 @@
 }
 
 // notify has the others told that the shared parts of the prompt from the
-// given one on are in the state.
-func (f *Fleet) notify(version int, p *prompt, from int, state amrgossip.PartState, s *server) {
+// given one on are in the state at the place, a server or a store.
+func (f *Fleet) notify(version int, p *prompt, from int, state amrgossip.PartState, place uint64) {
 	for i := from; i < p.shared; i++ {
-		part := amrgossip.Part{Version: version, Key: p.keys[i], State: state, Tokens: p.parts[i].Tokens}
-		if state == amrgossip.Cached {
-			if part.Tokens < toldTokens {
-				continue
-			}
-			part.Server = s.hash
+		part := amrgossip.Part{Version: version, Key: p.keys[i], State: state, Place: place, Tokens: p.parts[i].Tokens}
+		if state == amrgossip.Cached && part.Tokens < toldTokens {
+			continue
 		}
 		f.notices = append(f.notices, part)
 	}
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -49,6 +49,11 @@
 	Isolated     bool     // Shares no cached parts with other teams.
 	Exclude      []string // Names of servers that have failed or rejected it.
 	Impatient    bool     // It does not wait for parts that another request reads.
+
+	// MaxWait bounds the time before the prompt is begun to be read; 0 for none.
+	// It does not depend on the size of the prompt, so that sizes are treated
+	// alike.
+	MaxWait time.Duration
 }
 
 // shared returns how many leading parts other requests may share. The last
@@ -97,11 +102,12 @@
 	AllChanging                // All that may are changing their weights.
 	AllExcluded                // All that may have failed or rejected the request.
 	PartsPending               // Another request reads parts of the prompt just now.
+	Overloaded                 // The queues of all are longer than the request may wait.
 )
 
 // String returns the reason as it appears in logs.
 func (r Reason) String() string {
-	return [...]string{"no-server", "stale-weights", "all-changing", "all-excluded", "parts-pending"}[r]
+	return [...]string{"no-server", "stale-weights", "all-changing", "all-excluded", "parts-pending", "overloaded"}[r]
 }
 
 // candidate is a server with what choosing it would mean.
@@ -129,6 +135,9 @@
 			best = c
 		}
 	}
+	if r.MaxWait > 0 && f.reading(float64(f.pending(now, best.server))) > r.MaxWait {
+		return nil, Overloaded
+	}
 	if !r.Impatient && f.partsPending(now, best, p) {
 		return nil, PartsPending
 	}
--- a/core/amrpool/prompt.go
+++ b/core/amrpool/prompt.go
@@ -12,6 +12,7 @@
 	tokens int // Of the whole prompt.
 	keys   []uint64
 	shared int // Leading parts that other requests may have too.
+	store  chosenStore
 
 	eligible []*server
 	version  int // Newest weights among the eligible servers.
@@ -43,11 +44,14 @@
 	if r.Model == "" {
 		return p
 	}
+	if p.shared > 0 {
+		p.store = f.store.choose(p.keys[p.shared-1])
+	}
 	for _, s := range eligible {
 		version := s.version[r.Model]
 		p.version = max(p.version, version)
 		if _, ok := p.stored[version]; !ok {
-			p.stored[version] = f.store.depth(now, version, p.keys[:p.shared])
+			p.stored[version] = f.store.depth(now, p.store, version, p.keys[:p.shared])
 		}
 		p.fresh[s] = min(s.parts.freshDepth(now.Add(-peerFresh), p.keys), p.shared)
 	}
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -172,7 +172,11 @@
 // rank is the server's place in the order of homes of a key: the server with
 // the highest rank is the key's home.
 func (s *server) rank(key uint64) uint64 {
-	x := s.hash ^ key
+	return mix(s.hash ^ key)
+}
+
+// mix spreads the bits of x evenly.
+func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/core/amrpool/store.go
+++ b/core/amrpool/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/zeebo/xxh3"
 
 	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrroute"
@@ -45,8 +46,9 @@
 	parts  *simplelru.LRU[storeKey, storedPart]
 }
 
-// storeKey names a part made under a version of the weights.
+// storeKey names a part made under a version of the weights in a store.
 type storeKey struct {
+	store   uint64 // Hash of the store's name.
 	version int
 	key     uint64
 }
@@ -72,26 +74,32 @@
 	f.store.stores = stores
 }
 
-// storeAddress returns the address of the store to use, or "".
-func (f *Fleet) storeAddress() string {
-	for _, s := range f.store.stores {
-		if s.AvailabilityZone == f.zone {
-			return s.Address
+// choose returns the store of the prompts whose deepest shared part has the
+// key. All routers choose the same, and each store gets its share.
+func (s *storeParts) choose(key uint64) chosenStore {
+	var best chosenStore
+	for _, store := range s.stores {
+		c := chosenStore{address: store.Address, hash: xxh3.HashString(store.Name)}
+		if best.address == "" || mix(c.hash^key) > mix(best.hash^key) {
+			best = c
 		}
 	}
-	if len(f.store.stores) > 0 {
-		return f.store.stores[0].Address
-	}
-	return ""
+	return best
+}
+
+// chosenStore is the store of a prompt. The zero value is none.
+type chosenStore struct {
+	address string
+	hash    uint64 // Of its name.
 }
 
 // depth returns how many leading parts are in the store.
-func (s *storeParts) depth(now time.Time, version int, keys []uint64) int {
-	if len(s.stores) == 0 {
+func (s *storeParts) depth(now time.Time, store chosenStore, version int, keys []uint64) int {
+	if store.address == "" {
 		return 0
 	}
 	for i, key := range keys {
-		part, ok := s.parts.Peek(storeKey{version, key})
+		part, ok := s.parts.Peek(storeKey{store.hash, version, key})
 		if !ok || part.stored.IsZero() || now.Before(part.stored) || now.Sub(part.stored) >= storedFor {
 			return i
 		}
@@ -109,16 +117,15 @@
 	if source := p.source(c.server); source != nil && p.fresh[source] > p.fresh[c.server] && p.fresh[source] >= p.stored[c.version] {
 		return source.Address
 	}
-	return f.storeAddress()
+	return p.store.address
 }
 
 // saveTo returns the address of the store that is to get the parts, or "".
 func (f *Fleet) saveTo(now time.Time, version int, p *prompt) string {
-	address := f.storeAddress()
-	if address == "" || p.shared == 0 {
+	if p.store.address == "" || p.shared == 0 {
 		return ""
 	}
-	key := storeKey{version, p.keys[p.shared-1]}
+	key := storeKey{p.store.hash, version, p.keys[p.shared-1]}
 	part, ok := f.store.parts.Peek(key)
 	switch {
 	case ok && now.Sub(part.saving) < saveTimeout:
@@ -129,25 +136,25 @@
 	default:
 		part.saving = now
 		f.store.parts.Add(key, part)
-		return address
+		return p.store.address
 	}
 	for _, k := range p.keys[p.stored[version]:p.shared] {
-		f.store.parts.Add(storeKey{version, k}, storedPart{saving: now})
+		f.store.parts.Add(storeKey{p.store.hash, version, k}, storedPart{saving: now})
 	}
-	f.notify(version, p, p.stored[version], amrgossip.Reading, nil)
-	return address
+	f.notify(version, p, p.stored[version], amrgossip.Reading, p.store.hash)
+	return p.store.address
 }
 
 // partsPending reports whether another request reads many shared tokens just
 // now that the chosen server would have to read too.
 func (f *Fleet) partsPending(now time.Time, c candidate, p *prompt) bool {
-	if len(f.store.stores) == 0 || p.shared == 0 {
+	if p.store.address == "" || p.shared == 0 {
 		return false
 	}
 	have := max(min(c.work.cached, p.shared), p.fetchable(c.server))
 	tokens := 0
 	for i := have; i < p.shared; i++ {
-		part, ok := f.store.parts.Peek(storeKey{c.version, p.keys[i]})
+		part, ok := f.store.parts.Peek(storeKey{p.store.hash, c.version, p.keys[i]})
 		if ok && part.stored.IsZero() && now.Sub(part.saving) < readingTime || ok && now.Before(part.stored) {
 			tokens += p.parts[i].Tokens
 		}
@@ -155,9 +162,9 @@
 	return tokens >= pendingTokens
 }
 
-// saved notes that the shared parts are in the store soon.
-func (s *storeParts) saved(now time.Time, version int, keys []uint64) {
-	for _, key := range keys {
-		s.parts.Add(storeKey{version, key}, storedPart{saving: now, stored: now.Add(storeDelay)})
+// saved notes that the shared parts of the prompt are in its store soon.
+func (s *storeParts) saved(now time.Time, version int, p *prompt) {
+	for _, key := range p.keys[:p.shared] {
+		s.parts.Add(storeKey{p.store.hash, version, key}, storedPart{saving: now, stored: now.Add(storeDelay)})
 	}
 }
