--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -34,6 +34,10 @@
 	// candidates before it, a candidate waits for a rollout to begin.
 	candidateDelay = 150 * time.Millisecond
 
+	// endedDelay is how long the shared row may name a change that ended. Routers
+	// learn of the new weights from the server itself.
+	endedDelay = 400 * time.Millisecond
+
 	// callTimeout bounds a call to an engine or the shared rows.
 	callTimeout = 600 * time.Millisecond
 )
@@ -60,7 +64,8 @@
 	upgrades  map[string]*amrorder.Upgrade // By model.
 	changes   map[string]amrpool.Change    // By server; those that this router carries out.
 	namings   map[NewWeights]time.Duration // When versions were named, by the shared rows' clock.
-	announced bool                         // The shared row has the changes.
+	announced bool                         // The shared row has all changes.
+	endedAt   time.Time                    // Since when it has changes that ended; zero for none.
 	wantedAt  time.Time                    // Since when there is work; zero for none.
 	rank      int
 	held      bool
@@ -191,7 +196,7 @@
 		r.log.Info("lease of orders", "held", held, "fence", fence, "holder", r.lease.Holder())
 	}
 	switch {
-	case !wanted && len(r.changes) == 0 && r.announced:
+	case !wanted && len(r.changes) == 0 && r.announced && r.endedAt.IsZero():
 		r.wantedAt = time.Time{}
 		r.mu.Unlock()
 		return false
@@ -208,7 +213,8 @@
 		begun = r.plan(now)
 	}
 	r.mu.Lock()
-	due := !held || r.lease.RenewalDue(now) || !r.announced
+	ended := !r.endedAt.IsZero() && now.Sub(r.endedAt) >= endedDelay
+	due := !held || r.lease.RenewalDue(now) || !r.announced || ended
 	r.mu.Unlock()
 	if due && !r.announce(ctx) {
 		r.abandon(now, begun)
@@ -305,7 +311,7 @@
 	}
 	r.mu.Lock()
 	r.handover.take(expiry)
-	r.announced = true
+	r.announced, r.endedAt = true, time.Time{}
 	r.mu.Unlock()
 	r.apply(note, 0)
 	return true
@@ -367,7 +373,9 @@
 	r.mu.Lock()
 	u.Finish(now, b.server.Name, ok)
 	delete(r.changes, b.server.Name)
-	r.announced = false
+	if r.endedAt.IsZero() {
+		r.endedAt = now
+	}
 	r.mu.Unlock()
 	r.nudge()
 }
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -44,6 +44,14 @@
 	assumedRouters = 12
 )
 
+// The least times between two calls for changes. Changes of weights concern many
+// servers at a time, and records may change in quick succession. What the
+// routers share says which servers to keep off at once.
+const (
+	operatorPace = 100 * time.Millisecond
+	serversPace  = 200 * time.Millisecond
+)
+
 // The names of the tables in logs and towards other routers.
 const (
 	tableOperator = "operator"
@@ -181,12 +189,13 @@
 		name   string
 		source amrfollow.Source
 		apply  func(amrfollow.Update)
+		pace   time.Duration
 	}{
-		{tableOperator, r.ports.Operator, r.beliefs.operator},
-		{tableServers, r.ports.Servers, r.beliefs.servers},
-		{tableShared, r.ports.Shared, r.shared},
+		{tableOperator, r.ports.Operator, r.beliefs.operator, operatorPace},
+		{tableServers, r.ports.Servers, r.beliefs.servers, serversPace},
+		{tableShared, r.ports.Shared, r.shared, 0},
 	} {
-		f := amrfollow.New(t.name, t.source, r.log, t.apply, amrfollow.WithClock(r.clock), amrfollow.WithReplica(r.replicas.of(t.name)))
+		f := amrfollow.New(t.name, t.source, r.log, t.apply, amrfollow.WithPace(t.pace), amrfollow.WithClock(r.clock), amrfollow.WithReplica(r.replicas.of(t.name)))
 		r.replicas.followers[t.name] = f
 		r.followers = append(r.followers, f)
 	}
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -18,7 +18,7 @@
 const (
 	// changesWait is how long the table may hold a call until rows change. A
 	// connection that fell silent is noticed after about this time.
-	changesWait = 2500 * time.Millisecond
+	changesWait = 3500 * time.Millisecond
 
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
@@ -80,6 +80,7 @@
 	clock   clockwork.Clock
 	log     *slog.Logger
 	apply   func(Update)
+	pace    time.Duration
 	copy    *Copy
 
 	version   uint64
@@ -96,6 +97,12 @@
 	return func(f *Follower) { f.replica = r }
 }
 
+// WithPace sets the least time between a change and the next call, so that
+// changes which come together take one call.
+func WithPace(d time.Duration) Option {
+	return func(f *Follower) { f.pace = d }
+}
+
 // WithClock replaces the real clock.
 func WithClock(c clockwork.Clock) Option {
 	return func(f *Follower) { f.clock = c }
@@ -141,7 +148,7 @@
 	batch, whole, err := f.read(ctx)
 	switch {
 	case err == nil:
-		f.answered(batch, whole)
+		f.answered(ctx, batch, whole)
 	case ctx.Err() != nil:
 	case errorx.IsOfType(err, HistoryLost):
 		f.log.Info("table history lost, reading all rows", "table", f.name, "version", f.version)
@@ -161,7 +168,7 @@
 }
 
 // answered takes in an answer of the table.
-func (f *Follower) answered(batch Batch, whole bool) {
+func (f *Follower) answered(ctx context.Context, batch Batch, whole bool) {
 	now := f.clock.Now()
 	regained := f.lost.Swap(false)
 	if regained {
@@ -177,10 +184,22 @@
 	f.version = max(f.version, batch.Version)
 	f.copy.touch(now, batch.Now)
 	if len(rows) > 0 || regained {
+		defer f.rest(ctx, rows)
 		f.apply(Update{Rows: rows, Regained: regained, Now: batch.Now})
 	}
 }
 
+// rest waits for the pace after a change.
+func (f *Follower) rest(ctx context.Context, rows []Row) {
+	if f.pace == 0 || len(rows) == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.clock.After(f.pace):
+	}
+}
+
 // failed notes a failed call, asks a replica and pauses.
 func (f *Follower) failed(ctx context.Context, err error) {
 	now := f.clock.Now()
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -128,9 +128,12 @@
 	if reason == amrpool.StaleWeights {
 		code = amrreason.WrongWeights
 	}
-	if x.rejections > 0 || reason == amrpool.Overloaded {
+	if x.rejections > 0 {
 		code, retry = amrreason.Overloaded, busyRetry
 	}
+	if reason == amrpool.Overloaded {
+		code, retry = amrreason.Overloaded, overloadRetry
+	}
 	return x.refusal(code, retry, reason.String())
 }
 
--- a/core/amrforward/refusal.go
+++ b/core/amrforward/refusal.go
@@ -14,6 +14,7 @@
 	notReadyRetry = 500 * time.Millisecond // Until another router takes its connection.
 	noServerRetry = 400 * time.Millisecond // Until servers return or finish a change.
 	busyRetry     = 200 * time.Millisecond // Until a full server has room.
+	overloadRetry = time.Second            // Until the queues of an overloaded pool are shorter.
 )
 
 // refusal is a final answer of the router itself.
--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -27,6 +27,7 @@
 	byName      map[string]*server
 	pools       map[string][]*server
 	targets     map[string]target
+	pressures   map[string]pressure // By pool.
 	byHash      map[uint64]*server
 	store       storeParts
 	clock       clockwork.Clock
@@ -106,6 +107,7 @@
 		byName:      make(map[string]*server),
 		pools:       make(map[string][]*server),
 		targets:     make(map[string]target),
+		pressures:   make(map[string]pressure),
 		byHash:      make(map[uint64]*server),
 		store:       newStoreParts(),
 		clock:       clockwork.NewRealClock(),
--- /dev/null
+++ b/core/amrpool/overload.go
@@ -0,0 +1,54 @@
+package amrpool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// pressureTime is the time over which the wait in a pool is averaged. Short
+	// waits, as while some servers change their weights, are borne.
+	pressureTime = 1500 * time.Millisecond
+
+	// pressureShare is the share of the longest wait of a request that the mean
+	// wait in its pool must reach for the request to be refused.
+	pressureShare = 0.5
+)
+
+// pressure is the mean wait in a pool, averaged over time.
+type pressure struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// overloaded reports whether the request would wait too long at the chosen
+// server while its pool is overloaded.
+func (f *Fleet) overloaded(now time.Time, r Request, c candidate, eligible []*server) bool {
+	if r.MaxWait <= 0 {
+		return false
+	}
+	mean := f.press(now, r.Pool, eligible)
+	if mean < time.Duration(pressureShare*float64(r.MaxWait)) {
+		return false
+	}
+	return f.reading(float64(f.pending(now, c.server))) > r.MaxWait
+}
+
+// press takes the waits of the servers into the mean of their pool, which it
+// returns.
+func (f *Fleet) press(now time.Time, pool string, servers []*server) time.Duration {
+	tokens := 0
+	for _, s := range servers {
+		tokens += f.pending(now, s)
+	}
+	wait := f.reading(float64(tokens) / float64(len(servers)))
+	p := f.pressures[pool]
+	keep := 0.0
+	if !p.at.IsZero() {
+		keep = math.Exp(-now.Sub(p.at).Seconds() / pressureTime.Seconds())
+	}
+	p.wait = wait + time.Duration(keep*float64(p.wait-wait))
+	p.at = now
+	f.pressures[pool] = p
+	return p.wait
+}
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -50,9 +50,9 @@
 	Exclude      []string // Names of servers that have failed or rejected it.
 	Impatient    bool     // It does not wait for parts that another request reads.
 
-	// MaxWait bounds the time before the prompt is begun to be read; 0 for none.
-	// It does not depend on the size of the prompt, so that sizes are treated
-	// alike.
+	// MaxWait bounds the time before the prompt is begun to be read while the
+	// pool is overloaded; 0 for none. It does not depend on the size of the
+	// prompt, so that sizes are treated alike.
 	MaxWait time.Duration
 }
 
@@ -135,7 +135,7 @@
 			best = c
 		}
 	}
-	if r.MaxWait > 0 && f.reading(float64(f.pending(now, best.server))) > r.MaxWait {
+	if f.overloaded(now, r, best, eligible) {
 		return nil, Overloaded
 	}
 	if !r.Impatient && f.partsPending(now, best, p) {
