--- a/core/amrdirect/carry.go
+++ b/core/amrdirect/carry.go
@@ -13,9 +13,14 @@
 	// change its weights, and requests on their way to it arrive.
 	settleTime = 40 * time.Millisecond
 
-	// maxLoads is the number of engines that load at once. More share the same
-	// source of weights and each takes longer.
-	maxLoads = 3
+	// minLoads and loadShare give the number of engines that load at once, as a
+	// number and as a share of those that serve the model. More would share the
+	// same source of weights, and each would take longer.
+	minLoads  = 3
+	loadShare = 0.2
+
+	// loadUnits is the whole of which each load takes a part.
+	loadUnits = 1000
 
 	// drainLimit is how long a change waits for the running requests, and
 	// drainPoll the time between two looks.
@@ -61,10 +66,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := r.loads.Acquire(ctx, 1); err != nil {
+	if err := r.loads.Acquire(ctx, b.part); err != nil {
 		return 0, err
 	}
-	defer r.loads.Release(1)
+	defer r.loads.Release(b.part)
 	if report, err = r.report(ctx, b); err != nil {
 		return 0, err
 	}
@@ -146,3 +151,9 @@
 		return nil
 	}
 }
+
+// loadPart returns the part of loadUnits that one load takes, so that only as
+// many engines of the number load at once as may.
+func loadPart(engines int) int64 {
+	return loadUnits / int64(max(minLoads, int(loadShare*float64(engines))))
+}
--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -55,7 +55,7 @@
 	log   *slog.Logger
 	wake  chan struct{}
 	mode  LoadMode
-	loads *semaphore.Weighted // One for each engine that loads.
+	loads *semaphore.Weighted // Parts of loadUnits, for engines that load.
 	group errgroup.Group
 
 	mu        sync.Mutex
@@ -233,6 +233,7 @@
 type begin struct {
 	server amrpool.State
 	model  string
+	part   int64 // Of loadUnits, that its load takes.
 }
 
 // wanted reports whether an engine has older weights than were named.
@@ -289,7 +290,7 @@
 		for _, name := range u.Plan(now, target, servers) {
 			r.changes[name] = amrpool.Change{Model: model, Version: target}
 			r.announced = false
-			begun = append(begun, begin{server: states[name], model: model})
+			begun = append(begun, begin{server: states[name], model: model, part: loadPart(len(servers))})
 			r.log.Info("change of weights begins", "server", name, "model", model, "weights", target, "load", states[name].Load)
 		}
 		r.mu.Unlock()
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -166,7 +166,7 @@
 		log:       r.log,
 		wake:      make(chan struct{}, 1),
 		mode:      Retain,
-		loads:     semaphore.NewWeighted(maxLoads),
+		loads:     semaphore.NewWeighted(loadUnits),
 		lease:     amrorder.NewFollowedLease(r.boot.Now(), leaseKey, r.settings.Host, uuid.NewString(), leaseTTL),
 		handover:  newHandover(r.boot.Now(), r.settings.Host, r.settings.Bounds.LeaseHandover),
 		upgrades:  make(map[string]*amrorder.Upgrade),
