--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -81,13 +81,16 @@
 	return attrs
 }
 
+// sendSeparator stands between the sends of a request in its log line.
+const sendSeparator = " | "
+
 // sendsText tells where the request was sent, by which inputs, and what came
 // of it.
 func (x *exchange) sendsText() string {
 	var b strings.Builder
 	for i, s := range x.sends {
 		if i > 0 {
-			b.WriteString("; ")
+			b.WriteString(sendSeparator)
 		}
 		c := s.choice
 		b.WriteString(c.Name + " weights=" + strconv.Itoa(c.Version) +
--- a/core/amrlog/story.go
+++ b/core/amrlog/story.go
@@ -51,7 +51,10 @@
 	Host     []Line // Of the router's dependencies, before its end.
 }
 
-var serverName = regexp.MustCompile(`(?:^|; )(\S+) weights=`)
+// sendSeparator stands between the sends of a request.
+const sendSeparator = " | "
+
+var serverName = regexp.MustCompile(`(?:^| \| )(\S+) weights=`)
 
 // hostMessages are messages that change what a router believes or can do.
 var hostMessages = []string{
@@ -171,7 +174,7 @@
 	b.WriteByte('\n')
 	fmt.Fprintf(b, "  route %s to pool %s, by records version %s\n", line.Get("route"), line.Get("pool"), line.Get("records"))
 	if sends := line.Get("sends"); sends != "" {
-		for i, send := range strings.Split(sends, "; ") {
+		for i, send := range strings.Split(sends, sendSeparator) {
 			fmt.Fprintf(b, "  send %d: %s\n", i+1, send)
 		}
 	} else {
