--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -24,7 +24,6 @@
 	"amaranthreach.example/sidecar/amrsidecar"
 	"amaranthreach.example/standin/amrengine"
 	"amaranthreach.example/standin/amrkv"
-	"amaranthreach.example/standin/amrservice"
 	"amaranthreach.example/standin/amrstore"
 	"amaranthreach.example/standin/amrweights"
 )
@@ -88,30 +87,6 @@
 	kvURL       string
 }
 
-// Server is a backend server with its sidecar.
-type Server struct {
-	Name             string
-	Deployment       string
-	AvailabilityZone string
-	Engine           *amrengine.Engine   // Nil for a plain service.
-	Service          *amrservice.Service // Nil for an engine.
-	Sidecar          *Process
-
-	url     string
-	address string
-	metrics string
-	gate    atomic.Pointer[amrsidecar.Sidecar]
-}
-
-// Gate returns the sidecar that was started last.
-func (s *Server) Gate() *amrsidecar.Sidecar { return s.gate.Load() }
-
-// URL returns the URL of the backend server itself.
-func (s *Server) URL() string { return s.url }
-
-// MetricsURL returns the URL of the sidecar's metrics and readiness.
-func (s *Server) MetricsURL() string { return "http://" + s.metrics }
-
 // RouterProcess is a router of a fleet.
 type RouterProcess struct {
 	*Process
@@ -273,86 +248,6 @@
 	return fmt.Sprintf("zone-%d", i%max(f.Config.AvailabilityZones, 1)+1)
 }
 
-func (f *Fleet) addEngine(i int) error {
-	options := []amrengine.Option{
-		amrengine.WithModel(ModelDeployment),
-		amrengine.WithWeights(Weights),
-		amrengine.WithSeed(uint64(i) + 1),
-		amrengine.WithTimeScale(f.Config.TimeScale),
-		amrengine.WithWeightStore(f.Weights),
-	}
-	engine := amrengine.New(append(options, f.Config.EngineOptions...)...)
-	s := &Server{
-		Name:             fmt.Sprintf("engine-%d", i+1),
-		Deployment:       ModelDeployment,
-		AvailabilityZone: f.zone(i),
-		Engine:           engine,
-	}
-	return f.addServer(s, engine.Handler())
-}
-
-func (f *Fleet) addService(i int) error {
-	service := amrservice.New()
-	s := &Server{
-		Name:             fmt.Sprintf("service-%d", i+1),
-		Deployment:       ServiceDeployment,
-		AvailabilityZone: f.zone(i),
-		Service:          service,
-	}
-	return f.addServer(s, service.Handler())
-}
-
-func (f *Fleet) addServer(s *Server, handler http.Handler) error {
-	var err error
-	if s.url, err = f.serveOutside(s.Name, handler); err != nil {
-		return err
-	}
-	s.address, s.metrics = anyPort, anyPort
-	f.Servers = append(f.Servers, s)
-	return f.StartSidecar(s)
-}
-
-// StartSidecar starts the sidecar of the backend server, at the address that
-// it had before, if any.
-func (f *Fleet) StartSidecar(s *Server) error {
-	gate, err := listen(s.address)
-	if err != nil {
-		return err
-	}
-	metrics, err := listen(s.metrics)
-	if err != nil {
-		return err
-	}
-	s.address, s.metrics = gate.Addr().String(), metrics.Addr().String()
-	settings := amrsidecar.DefaultSettings()
-	settings.Name = s.Name
-	settings.AvailabilityZone = s.AvailabilityZone
-	settings.GateAddress = s.address
-	settings.MetricsAddress = s.metrics
-	settings.BackendURL = s.url
-	settings.PlatformURL = f.platformURL
-	settings.StopGrace = f.Config.StopGrace
-	settings.GateTLS = f.Config.GateTLS
-	if s.Service != nil {
-		settings.BackendType = amrsidecar.BackendService
-	}
-	f.Platform.SetHost(amrplatform.Host{
-		Name:             s.Name,
-		Address:          s.address,
-		AvailabilityZone: s.AvailabilityZone,
-		Role:             amrplatform.RoleSidecar,
-		State:            amrplatform.HostLive,
-	})
-	options := []amrsidecar.Option{
-		amrsidecar.WithLogger(f.log),
-		amrsidecar.WithListeners(amrsidecar.Listeners{Gate: gate, Metrics: metrics}),
-	}
-	sidecar := amrsidecar.New(settings, append(options, f.Config.SidecarOptions...)...)
-	s.gate.Store(sidecar)
-	s.Sidecar = start(f.ctx, s.Name, []*trackedListener{gate, metrics}, sidecar.Run)
-	return nil
-}
-
 func (f *Fleet) addRouter(i int) error {
 	settings := amrrouter.DefaultSettings()
 	settings.Name = fmt.Sprintf("router-%d", i+1)
