Tell the most telling reason for which no server could be chosen; forget servers that are gone at each choice

Cause: on reading, plain services kept servers that had gone for as long as nobody asked for their states.

--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -23,8 +23,9 @@
 	// staleCost is what weights cost that are not the newest ones.
 	staleCost = 300 * time.Millisecond
 
-	// transferCost is the share of the time of reading a part that it takes to
-	// transfer it from another engine or a store.
+	// transferCost is what it costs to transfer a part from another engine or a
+	// store, as a share of reading it: links are shared, and the part takes
+	// memory like one that was read.
 	transferCost = 1.0
 
 	// againWeight is what it costs to read parts that another engine reads or
@@ -95,19 +96,19 @@
 // Reason says why no server could be chosen.
 type Reason int
 
-// The reasons.
+// The reasons. Where servers are left out for several, the last one counts.
 const (
 	NoServer     Reason = iota // The pool has none that may get work.
-	StaleWeights               // All that may have weights that are too old.
-	AllChanging                // All that may are changing their weights.
-	AllExcluded                // All that may have failed or rejected the request.
+	AllExcluded                // Those that may have failed or rejected the request.
+	StaleWeights               // Those that may have weights that are too old.
+	AllChanging                // Those that may are changing their weights.
 	PartsPending               // Another request reads parts of the prompt just now.
 	Overloaded                 // The queues of all are longer than the request may wait.
 )
 
 // String returns the reason as it appears in logs.
 func (r Reason) String() string {
-	return [...]string{"no-server", "stale-weights", "all-changing", "all-excluded", "parts-pending", "overloaded"}[r]
+	return [...]string{"no-server", "all-excluded", "stale-weights", "all-changing", "parts-pending", "overloaded"}[r]
 }
 
 // candidate is a server with what choosing it would mean.
@@ -147,17 +148,18 @@
 // eligible returns the servers that may run the request: those in no trouble,
 // or else those that were avoided for a moment.
 func (f *Fleet) eligible(now time.Time, r Request) ([]*server, Reason) {
+	f.removeGone(now, r.Pool)
 	var good, avoided []*server
 	reason := NoServer
 	for _, s := range f.pools[r.Pool] {
 		switch {
 		case !s.usable(now):
 		case slices.Contains(r.Exclude, s.Name):
-			reason = AllExcluded
+			reason = max(reason, AllExcluded)
 		case s.changing():
-			reason = AllChanging
+			reason = max(reason, AllChanging)
 		case f.staleFor(now, s, r.Model) >= f.staleLimit:
-			reason = StaleWeights
+			reason = max(reason, StaleWeights)
 		case now.Before(s.avoidUntil):
 			avoided = append(avoided, s)
 		default:
