--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -237,14 +237,6 @@
 	r.stopping.Store(true)
 }
 
-// IdleTimeout returns how long a caller's connection may be idle.
-func (r *Router) IdleTimeout() time.Duration {
-	if table := r.forward.Table(); table != nil {
-		return table.Limits().IdleTimeout
-	}
-	return 0
-}
-
 // BodyBytes returns the largest body that a caller may send, or 0.
 func (r *Router) BodyBytes() int64 {
 	if table := r.forward.Table(); table != nil {
--- a/core/amrdirect/serve.go
+++ b/core/amrdirect/serve.go
@@ -33,8 +33,8 @@
 	Grace time.Duration // For requests in progress after that.
 }
 
-// callersIdle is how long a connection of a caller may be idle. Callers learn
-// their bound from the records, which is shorter.
+// callersIdle is how long a connection of a caller may be idle. The records'
+// bound is shorter; callers keep to it, and the router does not enforce it.
 const callersIdle = 2 * time.Minute
 
 // ListenAndServe serves the interfaces and runs the router until ctx is done.
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -152,17 +152,6 @@
 	return c.roundTrip(ctx, r)
 }
 
-// CloseIdle closes the idle connections to the address.
-func (t *Transport) CloseIdle(address string) {
-	t.mu.Lock()
-	idle := t.idle[address]
-	delete(t.idle, address)
-	t.mu.Unlock()
-	for _, c := range idle {
-		c.close()
-	}
-}
-
 func (t *Transport) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	for {
 		c := t.take(address)
