Let requests wait for backend servers that are alive but loading weights

KNOWN-RED's TestRollouts/holder-lost failed again under load (race detector, five at a time, load 15): 2 of 40 runs. Cause: for some 10 ms of a rollout every engine that a request knows of is under a change. Ruled out: lost answers, the lease, the holder's death: the refused requests were not-run and no router had died at that moment.

--- a/router/amrrouter/choice.go
+++ b/router/amrrouter/choice.go
@@ -25,6 +25,7 @@
 	costly    int      // Dispatches that were declined for their cost.
 	used      bool     // The plan was used for a dispatch.
 	excluded  []string // Backend servers that refused or failed the request.
+	absent    []string // Those of them that were away and ran nothing.
 	running   []string // Backend servers of attempts in progress.
 	known     []amrplace.Known
 	open      map[string]candidate
@@ -92,6 +93,9 @@
 		}
 		c.declined(server, event.Declined, load)
 	case *amrgate.DispatchReply_Failed:
+		if amrreason.Ran(event.Failed.GetRan()) == amrreason.NotRun {
+			c.absent = append(c.absent, server)
+		}
 		c.exclude(server)
 	}
 }
@@ -112,6 +116,12 @@
 	}
 }
 
+// forgive lets further attempts go to backend servers that were away.
+func (c *choice) forgive() {
+	c.excluded = slices.DeleteFunc(c.excluded, func(name string) bool { return slices.Contains(c.absent, name) })
+	c.absent = nil
+}
+
 // declined excludes the backend server unless only its cost was too high: it
 // may still be the best when the others are worse. One that holds other weights
 // is left out of the plan for as long as it does.
@@ -124,6 +134,9 @@
 		}
 		return
 	default:
+		if amrreason.Code(declined.GetReason()) == amrreason.EngineUnavailable {
+			c.absent = append(c.absent, server)
+		}
 		c.exclude(server)
 		return
 	}
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -55,6 +55,7 @@
 	membership  *membership
 	rollouts    *rollouts
 	orderTTL    time.Duration
+	settleLimit time.Duration
 	orderWait   time.Duration
 	decisions   *decisions
 	sidecars    *sidecars
@@ -120,6 +121,12 @@
 	return func(r *Router) { r.orderTTL, r.orderWait = ttl, timeout }
 }
 
+// WithSettleLimit sets how long a request waits in all for backend servers that
+// are alive but not ready. The default is DefaultSettleLimit.
+func WithSettleLimit(d time.Duration) Option {
+	return func(r *Router) { r.settleLimit = d }
+}
+
 // DefaultOrderTimeout bounds an order to a backend server.
 const DefaultOrderTimeout = 6 * time.Second
 
@@ -128,6 +135,7 @@
 	r := &Router{
 		settings:    settings,
 		clock:       clockwork.NewRealClock(),
+		settleLimit: DefaultSettleLimit,
 		log:         slog.Default(),
 		incarnation: uuid.NewString()[:8],
 		registry:    prometheus.NewRegistry(),
--- a/standin/amrfleet/rollout_test.go
+++ b/standin/amrfleet/rollout_test.go
@@ -77,6 +77,29 @@
 	})
 }
 
+// TestSingleEngineRollout changes the weights of the only engine again and
+// again while callers send requests. Those that come while it loads have to wait
+// for the moment that this takes, and none may be refused.
+func TestSingleEngineRollout(t *testing.T) {
+	is := is.New(t)
+	config := amrfleet.DefaultConfig
+	config.TimeScale = 20
+	config.Engines, config.Services = 1, 0
+	config.SidecarOptions = []amrsidecar.Option{amrsidecar.WithOrderSettle(0)}
+	config.RouterOptions = []amrrouter.Option{
+		amrrouter.WithOrderTimes(rolloutTTL, rolloutOrder),
+		amrrouter.WithSettleLimit(rolloutWait), // So that a slow machine does not decide the outcome.
+	}
+	fleet, err := amrfleet.Start(context.Background(), config)
+	is.NoErr(err)
+	defer func() { is.NoErr(fleet.Stop()) }()
+	r := &rolling{fleet: fleet, stop: make(chan struct{})}
+	datadriven.RunTest(t, "testdata/single-engine-rollout", r.run)
+	close(r.stop)
+	is.NoErr(r.callers.Wait())
+	is.True(r.answered.Load() > 0)
+}
+
 type rolling struct {
 	fleet    *amrfleet.Fleet
 	callers  errgroup.Group
