Take last known copies at a start without the store; hold callers to all limits of the records

They now give what they knew last to one that knows nothing, and one in touch goes first.

Of the records' limits only the body's size was enforced. Header bytes, the time of a header and the idle time are now, and follow the records while the router runs; a connection that was idle before the limit became shorter keeps the former one.

--- a/core/amrdirect/serve.go
+++ b/core/amrdirect/serve.go
@@ -33,9 +33,8 @@
 	Grace time.Duration // For requests in progress after that.
 }
 
-// callersIdle is how long a connection of a caller may be idle. The records'
-// bound is shorter; callers keep to it, and the router does not enforce it.
-const callersIdle = 2 * time.Minute
+// unlimitedHeader is the largest header of a caller before the records tell.
+const unlimitedHeader = 64 << 10
 
 // ListenAndServe serves the interfaces and runs the router until ctx is done.
 // Then it turns unready, waits until the balancer has noticed, and ends when the
@@ -50,8 +49,10 @@
 	group.Go(func() error { return r.Run(running) })
 	orders.Go(func() error { return r.rollout.Run(running, ctx, stopping.Delay+stopping.Grace) })
 	for _, side := range []Interface{i.Health, i.Peers, i.Metrics} {
-		group.Go(func() error { return r.serve(running, side, 0) })
+		group.Go(func() error { return r.serve(running, side, amrserve.DefaultLimits, 0) })
 	}
+	callers := amrserve.NewCallerConns(r.clock, r.callerLimits)
+	group.Go(func() error { return callers.Run(running) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -64,7 +65,9 @@
 		closeCallers()
 		return nil
 	})
-	err := r.serve(closing, i.Callers, stopping.Grace)
+	limits := amrserve.DefaultLimits
+	limits.HeaderBytes = unlimitedHeader
+	err := r.serve(closing, i.Callers, limits, stopping.Grace, amrserve.WithCallerConns(callers))
 	r.log.Info("stopped serving callers", "err", err)
 	if err != nil {
 		stop()
@@ -74,7 +77,22 @@
 	return errors.Join(err, group.Wait())
 }
 
-func (r *Router) serve(ctx context.Context, i Interface, grace time.Duration) error {
+// callerLimits returns the limits of callers' connections by the records in
+// force.
+func (r *Router) callerLimits() amrserve.CallerLimits {
+	table := r.forward.Table()
+	if table == nil {
+		return amrserve.CallerLimits{}
+	}
+	limits := table.Limits()
+	return amrserve.CallerLimits{
+		HeaderBytes:   limits.HeaderBytes,
+		HeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:   limits.IdleTimeout,
+	}
+}
+
+func (r *Router) serve(ctx context.Context, i Interface, limits amrserve.Limits, grace time.Duration, opts ...amrserve.Option) error {
 	if i.Address == "" {
 		return nil
 	}
@@ -84,7 +102,5 @@
 		return err
 	}
 	r.log.Info("serving", "address", listener.Addr().String())
-	limits := amrserve.DefaultLimits
-	limits.IdleTimeout = callersIdle
-	return amrserve.HTTP(ctx, listener, i.Handler, limits, grace)
+	return amrserve.HTTP(ctx, listener, i.Handler, limits, grace, opts...)
 }
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -62,8 +62,9 @@
 // Replica reads another process's copy of the table.
 type Replica interface {
 	// Copy returns the rows of a copy that was in touch with the table just
-	// now, or an error where none can be reached.
-	Copy(ctx context.Context) (Batch, error)
+	// now, or an error where none can be reached. With lastKnown it returns the
+	// newest of the copies that were in touch earlier where none is now.
+	Copy(ctx context.Context, lastKnown bool) (Batch, error)
 }
 
 // Update is what a Follower tells its consumer.
@@ -212,8 +213,9 @@
 		f.lostSince = now
 		f.log.Warn("table lost", "table", f.name, "version", f.version, "err", err)
 	}
-	if f.replica != nil && now.Sub(f.lostSince) >= replicaAfter {
-		f.askReplica(ctx)
+	cold := f.copy.Version() == 0 // An older state is better than none.
+	if f.replica != nil && (cold || now.Sub(f.lostSince) >= replicaAfter) {
+		f.askReplica(ctx, cold)
 	}
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
 	select {
@@ -222,8 +224,8 @@
 	}
 }
 
-func (f *Follower) askReplica(ctx context.Context) {
-	batch, err := f.replica.Copy(ctx)
+func (f *Follower) askReplica(ctx context.Context, lastKnown bool) {
+	batch, err := f.replica.Copy(ctx, lastKnown)
 	if err != nil {
 		f.log.Debug("no replica of the table answered", "table", f.name, "err", err)
 		return
@@ -232,6 +234,6 @@
 	if !accepted || len(rows) == 0 {
 		return
 	}
-	f.log.Info("took rows from a replica", "table", f.name, "rows", len(rows), "version", batch.Version)
+	f.log.Info("took rows from a replica", "table", f.name, "rows", len(rows), "version", batch.Version, "last-known", lastKnown)
 	f.apply(Update{Rows: rows, Now: batch.Now})
 }
--- a/core/amrfollow/follower_test.go
+++ b/core/amrfollow/follower_test.go
@@ -106,7 +106,7 @@
 }
 
 // Copy answers with the next copy.
-func (p *player) Copy(context.Context) (amrfollow.Batch, error) {
+func (p *player) Copy(_ context.Context, lastKnown bool) (amrfollow.Batch, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.replicas) == 0 {
@@ -114,7 +114,11 @@
 	}
 	batch := p.replicas[0]
 	p.replicas = p.replicas[1:]
-	fmt.Fprintln(&p.out, "asked a replica")
+	wanted := "a replica"
+	if lastKnown {
+		wanted = "a replica for what it knew last"
+	}
+	fmt.Fprintln(&p.out, "asked", wanted)
 	return batch, nil
 }
 
--- a/core/amrserve/http.go
+++ b/core/amrserve/http.go
@@ -42,12 +42,25 @@
 	quietPoll = 20 * time.Millisecond
 )
 
+// Option configures a server.
+type Option func(*http.Server, net.Listener) net.Listener
+
+// WithCallerConns holds the server's connections to limits that may change. The
+// keeper's Run has to run beside the server.
+func WithCallerConns(c *CallerConns) Option {
+	return func(s *http.Server, l net.Listener) net.Listener {
+		s.ConnState = c.Track
+		s.Handler = c.Handler(s.Handler)
+		return c.Listener(l)
+	}
+}
+
 // HTTP serves handler on listener until ctx is done. Then it lets requests in
 // progress finish for at most the grace time and returns nil, or the error of
 // the server when it failed earlier. It does not wait for connections on which
 // no request came. Requests that are not finished within the grace time are cut,
 // which is logged.
-func HTTP(ctx context.Context, listener net.Listener, handler http.Handler, limits Limits, grace time.Duration) error {
+func HTTP(ctx context.Context, listener net.Listener, handler http.Handler, limits Limits, grace time.Duration, opts ...Option) error {
 	var inProgress requests
 	server := &http.Server{
 		Handler:           inProgress.count(http.MaxBytesHandler(handler, limits.BodyBytes)),
@@ -57,6 +70,9 @@
 		IdleTimeout:       limits.IdleTimeout,
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
+	for _, opt := range opts {
+		listener = opt(server, listener)
+	}
 	var group errgroup.Group
 	stopped := make(chan struct{})
 	group.Go(func() error {
