Choose the version anew where the only servers changed their weights since it was chosen

Cause: the version was chosen when the engine held w2; by the time of the plan it was known to hold w3, so the plan was empty though the engine was eligible, and the version was chosen anew only after a declined attempt.

--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -140,11 +140,16 @@
 	return true
 }
 
+// notRun reports whether no attempt so far may have run.
+func (s *session) notRun() bool {
+	return s.last == nil || s.last.ran == amrreason.NotRun
+}
+
 // mayReturn reports whether nothing has run and a backend server of the
 // deployment is alive but not ready, as while it loads weights, or was so when
 // the request came there.
 func (s *session) mayReturn() bool {
-	if s.last != nil && s.last.ran != amrreason.NotRun {
+	if !s.notRun() {
 		return false
 	}
 	if len(s.choice.absent) > 0 {
@@ -254,12 +259,12 @@
 		return
 	}
 	server, ok := s.choice.next()
+	if !ok && s.notRun() && s.rebind() {
+		server, ok = s.choice.next() // Weights may have changed since the version was chosen.
+	}
 	if !ok && s.mayReturn() && s.pause() {
 		return // The next start settles first.
 	}
-	if !ok && s.last != nil && s.last.ran == amrreason.NotRun && s.rebind() {
-		server, ok = s.choice.next()
-	}
 	if !ok {
 		if s.last == nil {
 			s.last = refuse(amrreason.NoBackendServer, s.request.deployment).withRetryAfter(time.Second)
