--- a/core/amrdirect/carry.go
+++ b/core/amrdirect/carry.go
@@ -49,6 +49,7 @@
 		r.log.Warn("change of weights ended without success, it is planned anew", "server", b.server.Name, "model", b.model, "after", now.Sub(start), "err", err)
 	} else {
 		r.fleet.SawVersion(r.clock.Now(), b.server.Name, b.model, weights)
+		r.tellDone(b.server.Name, b.model, weights)
 		r.log.Info("change of weights done", "server", b.server.Name, "model", b.model, "weights", weights, "after", now.Sub(start))
 	}
 	r.finish(now, b, err == nil)
--- a/core/amrdirect/gossip.go
+++ b/core/amrdirect/gossip.go
@@ -13,12 +13,13 @@
 type gossipBeliefs struct {
 	fleet   *amrpool.Fleet
 	forward *amrforward.Forwarder
+	rollout *rollout
 }
 
 // Notices returns what other routers are to be told of since the last call.
-func (b gossipBeliefs) Notices() ([]amrgossip.Load, []amrgossip.Part, []amrgossip.Strike) {
+func (b gossipBeliefs) Notices() amrgossip.Notice {
 	loads, parts := b.fleet.Notices()
-	return loads, parts, b.forward.Strikes()
+	return amrgossip.Notice{Loads: loads, Parts: parts, Strikes: b.forward.Strikes(), Rollout: b.rollout.notice()}
 }
 
 // Heard takes in a notice of another router.
@@ -27,8 +28,8 @@
 	b.forward.Heard(now, n.Strikes)
 }
 
-// PartsChanged returns a channel that is ready when parts are to be told of at
+// Urgent returns a channel that is ready when something is to be told of at
 // once.
-func (b gossipBeliefs) PartsChanged() <-chan struct{} {
-	return b.fleet.PartsChanged()
+func (b gossipBeliefs) Urgent() <-chan struct{} {
+	return b.fleet.Urgent()
 }
--- a/core/amrdirect/note.go
+++ b/core/amrdirect/note.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrpool"
 )
 
@@ -85,6 +86,46 @@
 	}
 }
 
+// tell has the other routers told of the changes that stand in a version of the
+// shared row. Its mutex is held.
+func (r *rollout) tell(row uint64, note rolloutNote) {
+	news := r.pendingNews()
+	news.Row = row
+	news.Changing = nil
+	for server, c := range note.Changes {
+		news.Changing = append(news.Changing, amrgossip.Change{Server: amrpool.HashOf(server), Model: c.Model, Version: c.Weights})
+	}
+	r.fleet.Hurry()
+}
+
+// tellDone has the other routers told of a change that was carried out.
+func (r *rollout) tellDone(server, model string, weights int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := r.pendingNews()
+	news.Done = append(news.Done, amrgossip.Change{Server: amrpool.HashOf(server), Model: model, Version: weights})
+	r.fleet.Hurry()
+}
+
+// pendingNews returns what the other routers are still to be told. Its mutex
+// is held.
+func (r *rollout) pendingNews() *amrgossip.Rollout {
+	if r.news == nil {
+		r.news = &amrgossip.Rollout{}
+	}
+	return r.news
+}
+
+// notice returns what the other routers are to be told since the last call, or
+// nil.
+func (r *rollout) notice() *amrgossip.Rollout {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := r.news
+	r.news = nil
+	return news
+}
+
 // readNote decodes a holder's note. One that cannot be read names nothing.
 func (r *rollout) readNote(data json.RawMessage) rolloutNote {
 	var note rolloutNote
--- a/core/amrdirect/ports.go
+++ b/core/amrdirect/ports.go
@@ -123,5 +123,6 @@
 	LeaseHandover time.Duration // Least time between orders of two hosts.
 	StaleAfter    time.Duration // Since weights were named, until older ones count as costly.
 	StaleLimit    time.Duration // The same, until they may not be used.
+	Silence       time.Duration // In which a connection to the tables that fell silent is to be noticed; 0 for a default.
 	Retries       amrforward.RetryBounds
 }
--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"amaranthreach.example/core/amrfollow"
+	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrorder"
 	"amaranthreach.example/core/amrplatform"
 	"amaranthreach.example/core/amrpool"
@@ -69,6 +70,7 @@
 	wantedAt  time.Time                    // Since when there is work; zero for none.
 	rank      int
 	held      bool
+	news      *amrgossip.Rollout // What other routers are to be told; nil for nothing.
 }
 
 // BootClock tells a time that goes on while the host is suspended.
@@ -162,14 +164,14 @@
 	note := r.readNote(r.lease.Note())
 	r.handover.saw(now, r.lease.Holder(), note.engines())
 	r.mu.Unlock()
-	r.apply(note, tableNow)
+	r.apply(item.Version, note, tableNow)
 	r.nudge()
 }
 
 // apply makes the fleet keep off the servers that the note names, and takes in
 // when weights were named.
-func (r *rollout) apply(note rolloutNote, tableNow time.Duration) {
-	r.fleet.SetChanges(note.changes())
+func (r *rollout) apply(row uint64, note rolloutNote, tableNow time.Duration) {
+	r.fleet.SetChanges(row, note.changes())
 	for _, n := range note.Namings {
 		w := NewWeights{Model: n.Model, Version: n.Weights}
 		at := time.Duration(n.AtMS) * time.Millisecond
@@ -313,8 +315,10 @@
 	r.mu.Lock()
 	r.handover.take(expiry)
 	r.announced, r.endedAt = true, time.Time{}
+	row := r.lease.Version()
+	r.tell(row, note)
 	r.mu.Unlock()
-	r.apply(note, 0)
+	r.apply(row, note, 0)
 	return true
 }
 
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -44,12 +44,32 @@
 	assumedRouters = 12
 )
 
-// The least times between two calls for changes. Changes of weights concern many
-// servers at a time, and records may change in quick succession. What the
-// routers share says which servers to keep off at once.
+// The least times between two calls for changes of a table. Changes of weights
+// concern many servers at a time, and records may change in quick succession.
+// What the routers tell one another says which servers to keep off at once.
 const (
 	operatorPace = 100 * time.Millisecond
-	serversPace  = 200 * time.Millisecond
+
+	// The list of servers and the shared rows are read less often the more
+	// routers read them, so that their calls together do not grow with their
+	// number. A server that leaves is to be known well within the bound of
+	// draining, and a lease before it could lapse.
+	serversPace = 200 * time.Millisecond
+	sharedPace  = 0
+	fewRouters  = 8
+	pacePer     = 33 * time.Millisecond // For each router, where there are more than a few.
+	longestPace = time.Second
+)
+
+// The times for which tables may hold a call for changes.
+const (
+	// silenceMargin is what is left of the bound within which a silent
+	// connection is to be noticed, for the call after it.
+	silenceMargin = 600 * time.Millisecond
+
+	// sharedWait is longer, since routers tell one another of the shared rows'
+	// changes, and write them under a condition.
+	sharedWait = 9 * time.Second
 )
 
 // The names of the tables in logs and towards other routers.
@@ -136,7 +156,7 @@
 	)
 	r.rollout = r.newRollout()
 	r.beliefs = &beliefs{decoder: ports.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout}
-	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipBeliefs{fleet: r.fleet, forward: r.forward}, r.clock, r.log)
+	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipBeliefs{fleet: r.fleet, forward: r.forward, rollout: r.rollout}, r.clock, r.log)
 	r.follow()
 	r.register(r.registry)
 	return r
@@ -189,18 +209,37 @@
 		name   string
 		source amrfollow.Source
 		apply  func(amrfollow.Update)
-		pace   time.Duration
+		pace   func() time.Duration
+		wait   time.Duration
 	}{
-		{tableOperator, r.ports.Operator, r.beliefs.operator, operatorPace},
-		{tableServers, r.ports.Servers, r.beliefs.servers, serversPace},
-		{tableShared, r.ports.Shared, r.shared, 0},
+		{tableOperator, r.ports.Operator, r.beliefs.operator, func() time.Duration { return operatorPace }, r.tableWait()},
+		{tableServers, r.ports.Servers, r.beliefs.servers, func() time.Duration { return r.pace(serversPace) }, r.tableWait()},
+		{tableShared, r.ports.Shared, r.shared, func() time.Duration { return r.pace(sharedPace) }, sharedWait},
 	} {
-		f := amrfollow.New(t.name, t.source, r.log, t.apply, amrfollow.WithPace(t.pace), amrfollow.WithClock(r.clock), amrfollow.WithReplica(r.replicas.of(t.name)))
+		f := amrfollow.New(t.name, t.source, r.log, t.apply, amrfollow.WithPace(t.pace), amrfollow.WithWait(t.wait), amrfollow.WithClock(r.clock), amrfollow.WithReplica(r.replicas.of(t.name)))
 		r.replicas.followers[t.name] = f
 		r.followers = append(r.followers, f)
 	}
 }
 
+// tableWait returns how long operators' and servers' rows may hold a call.
+func (r *Router) tableWait() time.Duration {
+	if bound := r.settings.Bounds.Silence; bound > silenceMargin {
+		return bound - silenceMargin
+	}
+	return amrfollow.DefaultWait
+}
+
+// pace returns the least time between two calls for changes of a table that
+// all routers read: the given one where they are few.
+func (r *Router) pace(few time.Duration) time.Duration {
+	routers := r.routers.Load()
+	if routers <= fewRouters {
+		return few
+	}
+	return min(max(time.Duration(routers)*pacePer, few), longestPace)
+}
+
 // cacheTokens returns the memory of a pool's engines, or 0.
 func (r *Router) cacheTokens(pool string) int {
 	table := r.forward.Table()
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -16,11 +16,6 @@
 )
 
 const (
-	// changesWait is how long the table may hold a call until rows change. A
-	// connection that fell silent is noticed after about this time. While the
-	// table is lost, calls wait for nothing, so that its return is noticed soon.
-	changesWait = 2400 * time.Millisecond
-
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 500 * time.Millisecond
@@ -29,6 +24,9 @@
 	replicaAfter = 700 * time.Millisecond
 )
 
+// DefaultWait is how long the table may hold a call until rows change.
+const DefaultWait = 2400 * time.Millisecond
+
 // HistoryLost says that the table no longer has the changes after the version:
 // read all rows again.
 var HistoryLost = errorx.NewNamespace("follow").NewType("history-lost")
@@ -82,7 +80,8 @@
 	clock   clockwork.Clock
 	log     *slog.Logger
 	apply   func(Update)
-	pace    time.Duration
+	pace    func() time.Duration
+	wait    time.Duration
 	copy    *Copy
 
 	version   uint64
@@ -99,10 +98,17 @@
 	return func(f *Follower) { f.replica = r }
 }
 
-// WithPace sets the least time between a change and the next call, so that
-// changes which come together take one call.
-func WithPace(d time.Duration) Option {
-	return func(f *Follower) { f.pace = d }
+// WithPace sets the function that tells the least time between a change and the
+// next call, so that changes which come together take one call.
+func WithPace(pace func() time.Duration) Option {
+	return func(f *Follower) { f.pace = pace }
+}
+
+// WithWait replaces DefaultWait. A connection that fell silent is noticed after
+// about this time. While the table is lost, calls wait for nothing, so that its
+// return is noticed soon.
+func WithWait(d time.Duration) Option {
+	return func(f *Follower) { f.wait = d }
 }
 
 // WithClock replaces the real clock.
@@ -120,6 +126,8 @@
 		log:    log,
 		apply:  apply,
 		copy:   newCopy(),
+		pace:   func() time.Duration { return 0 },
+		wait:   DefaultWait,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -165,7 +173,7 @@
 		batch, err = f.source.Snapshot(ctx)
 		return batch, true, err
 	}
-	wait := changesWait
+	wait := f.wait
 	if f.lost.Load() {
 		wait = 0
 	}
@@ -197,12 +205,13 @@
 
 // rest waits for the pace after a change.
 func (f *Follower) rest(ctx context.Context, rows []Row) {
-	if f.pace == 0 || len(rows) == 0 {
+	pace := f.pace()
+	if pace == 0 || len(rows) == 0 {
 		return
 	}
 	select {
 	case <-ctx.Done():
-	case <-f.clock.After(f.pace):
+	case <-f.clock.After(pace):
 	}
 }
 
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -1,6 +1,6 @@
 // Package amrgossip lets routers tell one another at once what each decides by:
-// the requests it has at each backend server, and which prompt parts are being
-// read or are in a store.
+// the requests it has at each backend server, which prompt parts are being read
+// or are in a store, and which servers change their weights.
 //
 // Notices go by datagram and are never repeated. A lost one makes a choice
 // worse, never wrong.
@@ -31,6 +31,10 @@
 	maxLoads   = 40
 	maxParts   = 25
 	maxStrikes = 8
+
+	// maxChanges bounds the changes of weights in a notice of them, which goes
+	// by itself. With more, the others learn of them from the shared rows.
+	maxChanges = 32
 )
 
 // Notice is what a router tells the others.
@@ -41,6 +45,23 @@
 	Parts []Part
 
 	Strikes []Strike
+	Rollout *Rollout // Nil in most notices.
+}
+
+// Rollout is what the holder of the lease of orders tells of a rollout.
+type Rollout struct {
+	_        struct{} `cbor:",toarray"`
+	Row      uint64   // Version of the shared row that has the changes.
+	Changing []Change // All servers that are about to change their weights, or change them.
+	Done     []Change // Those that have just done so.
+}
+
+// Change is a change of a server's weights.
+type Change struct {
+	_       struct{} `cbor:",toarray"`
+	Server  uint64   // Hash of its name.
+	Model   string
+	Version int
 }
 
 // Strike says that a run of a request broke off with its backend server, or
@@ -81,16 +102,16 @@
 
 // Beliefs are what notices are made of, and what they change.
 type Beliefs interface {
-	// Notices returns the loads that changed and the parts and strikes to be
-	// told of since the last call.
-	Notices() ([]Load, []Part, []Strike)
+	// Notices returns what is to be told of since the last call: the loads that
+	// changed, parts, strikes and the rollout. The sender is left empty.
+	Notices() Notice
 
 	// Heard takes in a notice of another router.
 	Heard(now time.Time, n Notice)
 
-	// PartsChanged returns a channel that is ready when parts are to be told
+	// Urgent returns a channel that is ready when there is something to be told
 	// of at once.
-	PartsChanged() <-chan struct{}
+	Urgent() <-chan struct{}
 }
 
 // Exchange sends and receives notices. Create it with New.
@@ -182,17 +203,31 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.Chan():
-		case <-e.beliefs.PartsChanged():
+		case <-e.beliefs.Urgent():
 		}
-		loads, parts, strikes := e.beliefs.Notices()
-		for len(loads) > 0 || len(parts) > 0 || len(strikes) > 0 {
-			n, m, k := min(len(loads), maxLoads), min(len(parts), maxParts), min(len(strikes), maxStrikes)
-			e.tell(conn, Notice{From: e.own, Loads: loads[:n], Parts: parts[:m], Strikes: strikes[:k]})
-			loads, parts, strikes = loads[n:], parts[m:], strikes[k:]
+		for _, notice := range split(e.beliefs.Notices()) {
+			notice.From = e.own
+			e.tell(conn, notice)
 		}
 	}
 }
 
+// split returns the notices, each small enough for a datagram, that tell all of
+// what is to be told.
+func split(all Notice) []Notice {
+	var notices []Notice
+	if r := all.Rollout; r != nil && len(r.Changing)+len(r.Done) <= maxChanges {
+		notices = append(notices, Notice{Rollout: r})
+	}
+	loads, parts, strikes := all.Loads, all.Parts, all.Strikes
+	for len(loads) > 0 || len(parts) > 0 || len(strikes) > 0 {
+		n, m, k := min(len(loads), maxLoads), min(len(parts), maxParts), min(len(strikes), maxStrikes)
+		notices = append(notices, Notice{Loads: loads[:n], Parts: parts[:m], Strikes: strikes[:k]})
+		loads, parts, strikes = loads[n:], parts[m:], strikes[k:]
+	}
+	return notices
+}
+
 func (e *Exchange) tell(conn *net.UDPConn, notice Notice) {
 	data, err := cbor.Marshal(notice)
 	if err != nil || len(data) > maxDatagram {
--- a/core/amrgossip/exchange_test.go
+++ b/core/amrgossip/exchange_test.go
@@ -20,19 +20,20 @@
 	loads   []amrgossip.Load
 	parts   []amrgossip.Part
 	strikes []amrgossip.Strike
+	rollout *amrgossip.Rollout
 	changed chan struct{}
 	heard   chan amrgossip.Notice
 }
 
-func (b *beliefs) Notices() ([]amrgossip.Load, []amrgossip.Part, []amrgossip.Strike) {
-	loads, parts, strikes := b.loads, b.parts, b.strikes
-	b.loads, b.parts, b.strikes = nil, nil, nil
-	return loads, parts, strikes
+func (b *beliefs) Notices() amrgossip.Notice {
+	n := amrgossip.Notice{Loads: b.loads, Parts: b.parts, Strikes: b.strikes, Rollout: b.rollout}
+	b.loads, b.parts, b.strikes, b.rollout = nil, nil, nil, nil
+	return n
 }
 
 func (b *beliefs) Heard(_ time.Time, n amrgossip.Notice) { b.heard <- n }
 
-func (b *beliefs) PartsChanged() <-chan struct{} { return b.changed }
+func (b *beliefs) Urgent() <-chan struct{} { return b.changed }
 
 func newBeliefs() *beliefs {
 	return &beliefs{changed: make(chan struct{}, 1), heard: make(chan amrgossip.Notice, 100)}
@@ -76,6 +77,11 @@
 	for i := range strikes {
 		teller.strikes = append(teller.strikes, amrgossip.Strike{Fingerprint: [16]byte{byte(i)}, Cleared: i%2 == 0})
 	}
+	teller.rollout = &amrgossip.Rollout{Row: 9, Done: []amrgossip.Change{{Server: 1, Model: "m1", Version: 2}}}
+	for i := range 20 {
+		teller.rollout.Changing = append(teller.rollout.Changing, amrgossip.Change{Server: 1<<63 + uint64(i), Model: "a-model-with-a-long-name", Version: 1000 + i})
+	}
+	rollout := *teller.rollout
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clock := clockwork.NewRealClock()
 	from, to := freeAddress(t), freeAddress(t)
@@ -96,11 +102,15 @@
 
 	group.Go(func() error { return sender.Run(ctx) })
 	teller.changed <- struct{}{}
-	heardLoads, heardParts, heardStrikes := 0, 0, 0
-	for heardLoads < loads || heardParts < parts || heardStrikes < strikes {
+	heardLoads, heardParts, heardStrikes, heardRollouts := 0, 0, 0, 0
+	for heardLoads < loads || heardParts < parts || heardStrikes < strikes || heardRollouts < 1 {
 		select {
 		case n := <-listener.heard:
 			is.Equal(n.From, "r1")
+			if n.Rollout != nil {
+				is.Equal(*n.Rollout, rollout)
+				heardRollouts++
+			}
 			heardLoads += len(n.Loads)
 			heardStrikes += len(n.Strikes)
 			for _, p := range n.Parts {
--- a/core/amrorder/followed_lease.go
+++ b/core/amrorder/followed_lease.go
@@ -86,6 +86,11 @@
 	return l.value.Note
 }
 
+// Version returns the version of the item that the lease was last seen with.
+func (l *FollowedLease) Version() uint64 {
+	return l.seen.Version
+}
+
 // Holder returns the host that held the lease last.
 func (l *FollowedLease) Holder() string {
 	return l.value.Host
--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -33,9 +33,10 @@
 	store       storeParts
 	clock       clockwork.Clock
 
-	gossipAt     time.Time // When another router was last heard.
-	notices      []amrgossip.Part
-	partsChanged chan struct{}
+	gossipAt   time.Time // When another router was last heard.
+	notices    []amrgossip.Part
+	urgent     chan struct{}
+	changesRow uint64 // Version of the shared row that the changes are from.
 
 	staleAfter time.Duration // Since a version was named, until older ones are taken for costly.
 	staleLimit time.Duration // The same, until they may not be used.
@@ -113,9 +114,9 @@
 		store:       newStoreParts(),
 		clock:       clockwork.NewRealClock(),
 
-		partsChanged: make(chan struct{}, 1),
-		staleAfter:   1500 * time.Millisecond,
-		staleLimit:   7 * time.Second,
+		urgent:     make(chan struct{}, 1),
+		staleAfter: 1500 * time.Millisecond,
+		staleLimit: 7 * time.Second,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -295,10 +296,15 @@
 }
 
 // SetChanges sets which backend servers are about to change their weights or
-// are changing them. They get no new work meanwhile.
-func (f *Fleet) SetChanges(changes map[string]Change) {
+// are changing them, as a version of the shared row has them. They get no new
+// work meanwhile. Changes of an older version are ignored.
+func (f *Fleet) SetChanges(row uint64, changes map[string]Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if row < f.changesRow {
+		return
+	}
+	f.changesRow = row
 	for name, s := range f.byName {
 		s.change = changes[name]
 	}
--- a/core/amrpool/gossip.go
+++ b/core/amrpool/gossip.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"amaranthreach.example/core/amrgossip"
 )
 
@@ -49,9 +51,23 @@
 	return loads, parts
 }
 
-// PartsChanged returns a channel that is ready when parts are to be told of.
-func (f *Fleet) PartsChanged() <-chan struct{} {
-	return f.partsChanged
+// Urgent returns a channel that is ready when something is to be told of at
+// once.
+func (f *Fleet) Urgent() <-chan struct{} {
+	return f.urgent
+}
+
+// Hurry has what is to be told of told at once.
+func (f *Fleet) Hurry() {
+	select {
+	case f.urgent <- struct{}{}:
+	default: // It is to be looked at already.
+	}
+}
+
+// HashOf returns the hash that stands for a server's name in notices.
+func HashOf(server string) uint64 {
+	return xxh3.HashString(server)
 }
 
 // tell returns the load to be told of, and whether it is due.
@@ -78,6 +94,9 @@
 	for _, part := range n.Parts {
 		f.heardPart(now, part)
 	}
+	if n.Rollout != nil {
+		f.heardRollout(now, n.Rollout)
+	}
 }
 
 // heardPart takes in where another router says that a part is.
@@ -110,9 +129,27 @@
 	if state == amrgossip.Cached {
 		return // It goes with the next notice of loads.
 	}
-	select {
-	case f.partsChanged <- struct{}{}:
-	default: // It is to be looked at already.
+	f.Hurry()
+}
+
+// heardRollout takes in what the holder of the lease of orders says of changes
+// of weights.
+func (f *Fleet) heardRollout(now time.Time, r *amrgossip.Rollout) {
+	for _, done := range r.Done {
+		if s := f.byHash[done.Server]; s != nil {
+			s.sawVersion(now, done.Model, done.Version)
+		}
+	}
+	if r.Row < f.changesRow {
+		return
+	}
+	f.changesRow = r.Row
+	changes := make(map[uint64]Change, len(r.Changing))
+	for _, c := range r.Changing {
+		changes[c.Server] = Change{Model: c.Model, Version: c.Version}
+	}
+	for hash, s := range f.byHash {
+		s.change = changes[hash]
 	}
 }
 
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -61,6 +61,7 @@
 	clock   *clockwork.FakeClock
 	fleet   *amrpool.Fleet
 	choices map[string]*amrpool.Choice
+	row     uint64 // Version of the shared row of the changes set last.
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
@@ -99,7 +100,8 @@
 			name, version, _ := strings.Cut(w, "=")
 			changes[name] = amrpool.Change{Model: testModel, Version: number(t, version)}
 		}
-		s.fleet.SetChanges(changes)
+		s.row++
+		s.fleet.SetChanges(s.row, changes)
 	case "pick":
 		return s.pick(t, words)
 	case "answer":
@@ -112,6 +114,12 @@
 		s.choices[words[0]].Done(now, resultOf(t, words[1]))
 	case "heard":
 		s.fleet.Heard(now, notice(t, words))
+	case "heard-rollout": // ROW changing=SERVER=VERSION+... done=SERVER=VERSION+...
+		s.fleet.Heard(now, amrgossip.Notice{From: "r2", Rollout: &amrgossip.Rollout{
+			Row:      uint64(number(t, words[0])),
+			Changing: gossipChanges(t, option(words, "changing")),
+			Done:     gossipChanges(t, option(words, "done")),
+		}})
 	case "notices":
 		return s.notices()
 	case "wait":
@@ -169,6 +177,18 @@
 	return fmt.Sprintf("%d loads, %d parts", len(loads), len(parts))
 }
 
+func gossipChanges(t *testing.T, text string) []amrgossip.Change {
+	if text == "" {
+		return nil
+	}
+	var changes []amrgossip.Change
+	for word := range strings.SplitSeq(text, "+") {
+		name, version, _ := strings.Cut(word, "=")
+		changes = append(changes, amrgossip.Change{Server: amrpool.HashOf(name), Model: testModel, Version: number(t, version)})
+	}
+	return changes
+}
+
 func listing(t *testing.T, words []string) amrpool.Listing {
 	l := amrpool.Listing{Name: words[0], Pool: "engines", Address: words[0] + ":1", AvailabilityZone: "a", Slots: 8}
 	if pool := option(words, "pool"); pool != "" {
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -77,7 +75,7 @@
 
 func newServer(now time.Time, l Listing, cacheTokens int) *server {
 	s := &server{
-		hash:    xxh3.HashString(l.Name),
+		hash:    HashOf(l.Name),
 		joined:  now,
 		version: make(map[string]int),
 		updated: make(map[string]time.Time),
