--- a/core/amrdirect/carry.go
+++ b/core/amrdirect/carry.go
@@ -134,6 +134,7 @@
 		Fence:    fence,
 		Accepted: report.Accepted,
 	})
+	r.orders.WithLabelValues(orderResult(err)).Inc()
 	r.log.Info("order to load weights", "server", b.server.Name, "model", b.model, "weights", target, "fence", fence, "accepted-before", report.Accepted, "running", report.Running, "err", err)
 	if errorx.IsOfType(err, OrderUnknown) || errorx.IsOfType(err, OrderRefused) {
 		return nil
--- a/core/amrdirect/metrics.go
+++ b/core/amrdirect/metrics.go
@@ -1,6 +1,7 @@
 package amrdirect
 
 import (
+	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -26,6 +27,8 @@
 			return float64(r.routers.Load())
 		}),
 		r.newServersCollector(),
+		r.newRetriesCollector(),
+		r.rollout.orders,
 	)
 	for name, f := range r.replicas.followers {
 		labels := prometheus.Labels{"table": name}
@@ -74,3 +77,46 @@
 		}
 	}
 }
+
+// retriesCollector tells what is left of the budgets of repeated sends.
+type retriesCollector struct {
+	router *Router
+	desc   *prometheus.Desc
+}
+
+func (r *Router) newRetriesCollector() *retriesCollector {
+	return &retriesCollector{
+		router: r,
+		desc:   prometheus.NewDesc("amr_retries_left", "Repeated sends that this router's budget of a pool allows now.", []string{"pool"}, nil),
+	}
+}
+
+// Describe sends the description of the gauge.
+func (c *retriesCollector) Describe(out chan<- *prometheus.Desc) {
+	out <- c.desc
+}
+
+// Collect sends the gauges as of now.
+func (c *retriesCollector) Collect(out chan<- prometheus.Metric) {
+	for pool, left := range c.router.forward.RetriesLeft(c.router.clock.Now()) {
+		out <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(left), pool)
+	}
+}
+
+// newOrderCounter returns the counter of orders to engines.
+func newOrderCounter() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_orders_total", Help: "Orders to load weights, by result."}, []string{"result"})
+}
+
+// orderResult returns the label of an order's outcome.
+func orderResult(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errorx.IsOfType(err, OrderUnknown):
+		return "unknown"
+	case errorx.IsOfType(err, OrderRefused):
+		return "refused"
+	}
+	return "failed"
+}
--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
@@ -59,6 +60,8 @@
 	loads *semaphore.Weighted // Parts of loadUnits, for engines that load.
 	group errgroup.Group
 
+	orders *prometheus.CounterVec // By result.
+
 	mu        sync.Mutex
 	lease     *amrorder.FollowedLease
 	handover  *handover
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -187,6 +187,7 @@
 		wake:      make(chan struct{}, 1),
 		mode:      Retain,
 		loads:     semaphore.NewWeighted(loadUnits),
+		orders:    newOrderCounter(),
 		lease:     amrorder.NewFollowedLease(r.boot.Now(), leaseKey, r.settings.Host, uuid.NewString(), leaseTTL),
 		handover:  newHandover(r.boot.Now(), r.settings.Host, r.settings.Bounds.LeaseHandover),
 		upgrades:  make(map[string]*amrorder.Upgrade),
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -212,6 +212,18 @@
 	return f.window(pool).Repeat(now, f.routers())
 }
 
+// RetriesLeft returns how many repeated sends the budget of each pool allows
+// now.
+func (f *Forwarder) RetriesLeft(now time.Time) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := make(map[string]int, len(f.windows))
+	for pool, w := range f.windows {
+		left[pool] = w.Left(now, f.routers())
+	}
+	return left
+}
+
 func (f *Forwarder) window(pool string) *amrretry.Window {
 	w := f.windows[pool]
 	if w == nil {
--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -14,6 +14,7 @@
 type Metrics struct {
 	requests  *prometheus.CounterVec
 	sends     *prometheus.CounterVec
+	wait      *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
 }
@@ -25,11 +26,12 @@
 	m := &Metrics{
 		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_requests_total", Help: "Requests by route, status and reason of refusal."}, []string{"route", "status", "reason"}),
 		sends:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_sends_total", Help: "Sends to backend servers by pool and result."}, []string{"pool", "result"}),
+		wait:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_wait_seconds", Help: "Time from a request to its first send.", Buckets: buckets}, []string{"pool"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_first_byte_seconds", Help: "Time from a request to the first byte of its answer.", Buckets: buckets}, []string{"route"}),
 		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_request_seconds", Help: "Time from a request to the end of its answer.", Buckets: buckets}, []string{"route"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.sends, m.firstByte, m.duration)
+		registerer.MustRegister(m.requests, m.sends, m.wait, m.firstByte, m.duration)
 	}
 	return m
 }
@@ -46,6 +48,9 @@
 	}
 	m := x.f.metrics
 	m.requests.WithLabelValues(route, strconv.Itoa(x.status), reason).Inc()
+	if len(x.sends) > 0 {
+		m.wait.WithLabelValues(x.pool).Observe(x.sends[0].at.Sub(x.request.Arrived).Seconds())
+	}
 	for _, s := range x.sends {
 		m.sends.WithLabelValues(x.pool, s.result.String()).Inc()
 	}
