--- /dev/null
+++ b/core/amrpool/bench_test.go
@@ -0,0 +1,53 @@
+package amrpool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"amaranthreach.example/core/amrpool"
+)
+
+// BenchmarkPick chooses among the servers of a large pool for prompts of which
+// some servers have parts.
+func BenchmarkPick(b *testing.B) {
+	for _, servers := range []int{12, 120, 1200} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			fleet := largeFleet(servers)
+			now := time.Unix(1000, 0)
+			prompts := 0
+			for b.Loop() {
+				choice, reason := fleet.Pick(now, prompted(prompts%50))
+				if choice == nil {
+					b.Fatal(reason)
+				}
+				choice.Answered(now, nil)
+				choice.Done(now, amrpool.Completed)
+				prompts++
+				now = now.Add(time.Millisecond)
+			}
+		})
+	}
+}
+
+// largeFleet returns a fleet with a pool of so many engines.
+func largeFleet(servers int) *amrpool.Fleet {
+	fleet := amrpool.New(amrpool.WithAvailabilityZone("a"), amrpool.WithCacheTokens(func(string) int { return 1 << 20 }))
+	now := time.Unix(1000, 0)
+	fleet.Name(now, testModel, 1)
+	for i := range servers {
+		fleet.List(now, amrpool.Listing{
+			Name: fmt.Sprintf("s%d", i), Pool: "engines", Address: "10.0.0.1:1", AvailabilityZone: string(rune('a' + i%3)),
+			Slots: 128, Weights: map[string]int{testModel: 1},
+		})
+	}
+	return fleet
+}
+
+// prompted returns a request whose prompt shares two parts with others.
+func prompted(n int) amrpool.Request {
+	return amrpool.Request{
+		Pool: "engines", Model: testModel, Impatient: true, PromptTokens: 9000, OutputTokens: 20,
+		Parts: []amrpool.Part{{ID: "catalogue", Tokens: 2500}, {ID: fmt.Sprintf("season-%d", n), Tokens: 3800}, {ID: "own", Tokens: 2700}},
+	}
+}
--- a/core/amrpool/gossip.go
+++ b/core/amrpool/gossip.go
@@ -27,13 +27,6 @@
 	at       time.Time
 }
 
-// heard is the load that another router told of.
-type heard struct {
-	inFlight int
-	pending  int
-	at       time.Time
-}
-
 // Notices returns the loads that changed and the parts to be told of since the
 // last call.
 func (f *Fleet) Notices() ([]amrgossip.Load, []amrgossip.Part) {
@@ -88,7 +81,7 @@
 	f.gossipAt = now
 	for _, load := range n.Loads {
 		if s := f.byHash[load.Server]; s != nil {
-			s.heard[n.From] = heard{inFlight: load.InFlight, pending: load.Pending, at: now}
+			s.heard.set(n.From, heardLoad{inFlight: load.InFlight, pending: load.Pending, at: now})
 		}
 	}
 	for _, part := range n.Parts {
@@ -160,13 +153,6 @@
 	if f.gossipAt.IsZero() || now.Sub(f.gossipAt) >= heardFor {
 		return 0, 0, false
 	}
-	for from, h := range s.heard {
-		if now.Sub(h.at) >= heardFor {
-			delete(s.heard, from)
-			continue
-		}
-		inFlight += h.inFlight
-		pending += h.pending
-	}
+	inFlight, pending = s.heard.sum(now)
 	return inFlight, pending, true
 }
--- a/core/amrpool/prompt.go
+++ b/core/amrpool/prompt.go
@@ -17,9 +17,9 @@
 	eligible []*server
 	version  int // Newest weights among the eligible servers.
 	model    string
-	stored   map[int]int     // Leading shared parts in the store, by version.
-	homes    []*server       // By shared part; nil until asked for.
-	fresh    map[*server]int // Leading shared parts that each server used a moment ago.
+	stored   map[int]int      // Leading shared parts in the store, by version.
+	homes    []*server        // By shared part; nil until asked for.
+	sources  map[int]*sources // Servers to fetch parts from, by version.
 }
 
 // work is what a server would have to do for a prompt.
@@ -39,7 +39,7 @@
 		eligible: eligible,
 		model:    r.Model,
 		stored:   make(map[int]int),
-		fresh:    make(map[*server]int),
+		sources:  make(map[int]*sources),
 	}
 	if r.Model == "" {
 		return p
@@ -53,45 +53,28 @@
 		if _, ok := p.stored[version]; !ok {
 			p.stored[version] = f.store.depth(now, p.store, version, p.keys[:p.shared])
 		}
-		p.fresh[s] = min(s.parts.freshDepth(now.Add(-peerFresh), p.keys), p.shared)
+		if depth := p.freshDepth(now, s); depth > 0 {
+			p.addSource(version, holder{server: s, depth: depth, rank: s.rank(p.keys[len(p.keys)-1])})
+		}
 	}
 	return p
 }
 
+// freshDepth returns how many leading shared parts the server used a moment
+// ago.
+func (p *prompt) freshDepth(now time.Time, s *server) int {
+	return min(s.parts.freshDepth(now.Add(-peerFresh), p.keys), p.shared)
+}
+
 // fetchable returns how many leading shared parts the server can fetch.
 func (p *prompt) fetchable(s *server) int {
 	depth := p.stored[s.version[p.model]]
-	if source := p.source(s); source != nil {
-		depth = max(depth, p.fresh[source])
+	if source := p.source(s); source.server != nil {
+		depth = max(depth, source.depth)
 	}
 	return depth
 }
 
-// source returns the server from which another one fetches parts best: with
-// the same weights and the most parts, in its availability zone where there is
-// one. It returns nil where none has any.
-func (p *prompt) source(to *server) *server {
-	var best *server
-	for _, s := range p.eligible {
-		if s == to || p.fresh[s] == 0 || s.version[p.model] != to.version[p.model] {
-			continue
-		}
-		if best == nil || p.fresh[s] > p.fresh[best] || p.fresh[s] == p.fresh[best] && p.nearer(to, s, best) {
-			best = s
-		}
-	}
-	return best
-}
-
-// nearer reports whether a is better to fetch from than b.
-func (p *prompt) nearer(to, a, b *server) bool {
-	if near := a.AvailabilityZone == to.AvailabilityZone; near != (b.AvailabilityZone == to.AvailabilityZone) {
-		return near
-	}
-	last := p.keys[len(p.keys)-1] // Spreads the transfers over equal sources.
-	return a.rank(last) > b.rank(last)
-}
-
 // work returns what the server would have to do for the prompt.
 func (p *prompt) work(now time.Time, s *server) work {
 	w := work{cached: min(s.parts.freshDepth(now.Add(-cachedFor), p.keys), len(p.keys))}
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -61,7 +61,7 @@
 	heldTokens    int // Tokens of requests in flight.
 
 	told  told
-	heard map[string]heard // By the router that told it.
+	heard heardLoads
 
 	load       Load
 	loadAt     time.Time
@@ -80,7 +80,6 @@
 		version: make(map[string]int),
 		updated: make(map[string]time.Time),
 		parts:   newPartCache(cacheTokens),
-		heard:   make(map[string]heard),
 	}
 	s.list(now, l)
 	return s
--- a/core/amrpool/store.go
+++ b/core/amrpool/store.go
@@ -114,8 +114,9 @@
 	if p.shared == 0 {
 		return ""
 	}
-	if source := p.source(c.server); source != nil && p.fresh[source] > p.fresh[c.server] && p.fresh[source] >= p.stored[c.version] {
-		return source.Address
+	source := p.source(c.server)
+	if source.server != nil && source.depth > p.freshDepth(now, c.server) && source.depth >= p.stored[c.version] {
+		return source.server.Address
 	}
 	return p.store.address
 }
