Count the memory that other routers' prompts take at an engine

A router counted its own prompts whole, but of others' only the shared parts, while with 23 routers most of an engine's memory is taken by the others' own parts. Routers now tell how much memory their requests took beyond what they tell of.

--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -78,6 +78,7 @@
 	Server   uint64   // Hash of its name.
 	InFlight int
 	Pending  int // Prompt tokens sent that are not known to be read.
+	Filled   int // Tokens of its memory taken since the last notice, beyond the parts told of.
 }
 
 // Part is the state of a prompt part.
--- a/core/amrpool/choice.go
+++ b/core/amrpool/choice.go
@@ -44,6 +44,7 @@
 	s.pendingTokens -= c.Missing
 	if s.version[c.model] == c.Version {
 		s.parts.add(now, c.prompt.keys, c.prompt.parts)
+		s.filled += c.prompt.untold()
 		f.notify(c.Version, c.prompt, 0, amrgossip.Cached, s.hash)
 	}
 	if c.SaveTo != "" {
--- a/core/amrpool/gossip.go
+++ b/core/amrpool/gossip.go
@@ -66,12 +66,14 @@
 // tell returns the load to be told of, and whether it is due.
 func (s *server) tell(now time.Time) (amrgossip.Load, bool) {
 	same := s.inFlight == s.told.inFlight && s.pendingTokens == s.told.pending
-	idle := s.inFlight == 0 && s.pendingTokens == 0
+	idle := s.inFlight == 0 && s.pendingTokens == 0 && s.filled == 0
 	if same && (idle || now.Sub(s.told.at) < repeatAfter) {
 		return amrgossip.Load{}, false
 	}
+	load := amrgossip.Load{Server: s.hash, InFlight: s.inFlight, Pending: s.pendingTokens, Filled: s.filled}
 	s.told = told{inFlight: s.inFlight, pending: s.pendingTokens, at: now}
-	return amrgossip.Load{Server: s.hash, InFlight: s.inFlight, Pending: s.pendingTokens}, true
+	s.filled = 0
+	return load, true
 }
 
 // Heard takes in a notice of another router.
@@ -82,6 +84,7 @@
 	for _, load := range n.Loads {
 		if s := f.byHash[load.Server]; s != nil {
 			s.heard.set(n.From, heardLoad{inFlight: load.InFlight, pending: load.Pending, at: now})
+			s.parts.fill(now, load.Filled)
 		}
 	}
 	for _, part := range n.Parts {
--- a/core/amrpool/parts.go
+++ b/core/amrpool/parts.go
@@ -7,8 +7,14 @@
 	"github.com/zeebo/xxh3"
 )
 
-// maxParts bounds the parts that a router remembers of one backend server.
-const maxParts = 1024
+const (
+	// maxParts bounds the parts that a router remembers of one backend server.
+	maxParts = 1024
+
+	// fillTime is the time over which memory that is taken by parts of no
+	// interest is counted as one part.
+	fillTime = 100 * time.Millisecond
+)
 
 // Part is one part of a prompt. Requests share leading parts.
 type Part struct {
@@ -82,6 +88,19 @@
 	}
 }
 
+// fill notes that parts which no other request asks for took so many tokens of
+// memory. They make the engine evict parts that were used before.
+func (c *partCache) fill(now time.Time, tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	key := uint64(now.UnixNano() / int64(fillTime)) // No hash of a part is likely to be the same.
+	if old, ok := c.lru.Peek(key); ok {
+		tokens += old.tokens
+	}
+	c.use(now, key, tokens)
+}
+
 func tokensOf(parts []Part) int {
 	total := 0
 	for _, p := range parts {
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -169,6 +169,9 @@
 	if choice.SaveTo != "" {
 		out += " save=" + choice.SaveTo
 	}
+	if slices.Contains(words, "show-cached") {
+		out += " cached=" + strconv.Itoa(choice.Cached)
+	}
 	return out
 }
 
@@ -214,8 +217,10 @@
 	n := amrgossip.Notice{From: words[0]}
 	for _, w := range words[1:] {
 		name, load, _ := strings.Cut(w, "=")
-		requests, tokens, _ := strings.Cut(load, "/")
-		n.Loads = append(n.Loads, amrgossip.Load{Server: amrpool.HashOf(name), InFlight: number(t, requests), Pending: number(t, tokens)})
+		numbers := strings.Split(load+"/0", "/") // In progress, pending tokens and, where given, filled memory.
+		n.Loads = append(n.Loads, amrgossip.Load{
+			Server: amrpool.HashOf(name), InFlight: number(t, numbers[0]), Pending: number(t, numbers[1]), Filled: number(t, numbers[2]),
+		})
 	}
 	return n
 }
--- a/core/amrpool/prompt.go
+++ b/core/amrpool/prompt.go
@@ -22,6 +22,18 @@
 	sources  map[int]*sources // Servers to fetch parts from, by version.
 }
 
+// untold returns the tokens of the prompt whose place other routers are not
+// told.
+func (p *prompt) untold() int {
+	tokens := p.tokens
+	for _, part := range p.parts[:p.shared] {
+		if part.Tokens >= toldTokens {
+			tokens -= part.Tokens
+		}
+	}
+	return max(tokens, 0)
+}
+
 // work is what a server would have to do for a prompt.
 type work struct {
 	cached int     // Leading parts that it has.
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -59,6 +59,7 @@
 	inFlight      int
 	pendingTokens int // Prompt tokens sent that are not known to be read.
 	heldTokens    int // Tokens of requests in flight.
+	filled        int // Tokens of its memory taken that other routers are still to be told of.
 
 	told  told
 	heard heardLoads
