--- a/core/amrpool/overload.go
+++ b/core/amrpool/overload.go
@@ -14,6 +14,9 @@
 	// to which a pool is not overloaded.
 	calmShare = 0.3
 
+	// urgentWait is how much longer the queue before an urgent request may be.
+	urgentWait = 2
+
 	// pressedShare is the share of the longest wait that is left to requests of
 	// a pool that is heavily overloaded, and spreadShare how far the wait of a
 	// request and the mean may lie together.
@@ -34,6 +37,9 @@
 		return false
 	}
 	longest := r.MaxWait.Seconds()
+	if r.Urgent {
+		longest *= urgentWait
+	}
 	mean := f.press(now, r.Pool, eligible).Seconds()
 	if mean < calmShare*longest {
 		return false
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -55,6 +55,10 @@
 	// pool is overloaded; 0 for none. It does not depend on the size of the
 	// prompt, so that sizes are treated alike.
 	MaxWait time.Duration
+
+	// Urgent requests are read before others, so they may come behind longer
+	// queues: the less urgent yield first.
+	Urgent bool
 }
 
 // shared returns how many leading parts other requests may share. The last
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -154,6 +154,14 @@
 		r.Team, r.Isolated = team, true
 	}
 	r.Impatient = slices.Contains(words, "impatient")
+	r.Urgent = slices.Contains(words, "urgent")
+	if wait := option(words, "max-wait"); wait != "" {
+		d, err := time.ParseDuration(wait)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.MaxWait = d
+	}
 	choice, reason := s.fleet.Pick(s.clock.Now(), r)
 	if choice == nil {
 		return reason.String()
