Fetch cached parts from engines that used them lately and did not fail

Cause: with the memory that others take, parts live 2 to 4 s in an engine under load, and crashed engines were asked for parts for up to 4 s after their last use; a dead source costs some hundred ms and the parts are read again.

--- a/core/amrpool/prompt.go
+++ b/core/amrpool/prompt.go
@@ -65,7 +65,7 @@
 		if _, ok := p.stored[version]; !ok {
 			p.stored[version] = f.store.depth(now, p.store, version, p.keys[:p.shared])
 		}
-		if depth := p.freshDepth(now, s); depth > 0 {
+		if depth := p.freshDepth(now, s); depth > 0 && s.evidence(now) < doubtful {
 			p.addSource(version, holder{server: s, depth: depth, rank: s.rank(p.keys[len(p.keys)-1])})
 		}
 	}
--- a/core/amrpool/store.go
+++ b/core/amrpool/store.go
@@ -13,10 +13,14 @@
 const (
 	// peerFresh is how long ago an engine must have used parts at most to be
 	// asked for them: later they may be evicted.
-	peerFresh = 4 * time.Second
+	peerFresh = 2500 * time.Millisecond
+
+	// doubtful is the evidence of faults with which an engine is not asked for
+	// parts: a request waits long for those of an engine that is down.
+	doubtful = 0.5
 
 	// cachedFor is how long after their last use parts are taken to be cached.
-	cachedFor = 8 * time.Second
+	cachedFor = 5 * time.Second
 
 	// maxStored bounds the parts in the store that a router remembers.
 	maxStored = 16384
