--- a/core/amrserve/callers_test.go
+++ b/core/amrserve/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -92,19 +93,14 @@
 		_ = c.conn.SetReadDeadline(clock.Now().Add(10 * time.Millisecond))
 		_, err := c.conn.Read(buffer)
 		var timeout net.Error
-		if err != nil && !(asTimeout(err, &timeout)) {
+		waiting := errors.As(err, &timeout) && timeout.Timeout()
+		if err != nil && !waiting {
 			return true
 		}
 	}
 	return false
 }
 
-func asTimeout(err error, target *net.Error) bool {
-	e, ok := err.(net.Error)
-	*target = e
-	return ok && e.Timeout()
-}
-
 const wholeRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 func TestHeaderBytes(t *testing.T) {
