Tell large rollouts in several notices; log what a holder's notices change

With more than 32 changes at once no notice was sent, so routers of large pools would have learnt of them from the rows only, up to 1 s late. Notices of one row now add up.

--- a/core/amrdirect/gossip.go
+++ b/core/amrdirect/gossip.go
@@ -1,6 +1,7 @@
 package amrdirect
 
 import (
+	"log/slog"
 	"time"
 
 	"amaranthreach.example/core/amrforward"
@@ -14,6 +15,7 @@
 	fleet   *amrpool.Fleet
 	forward *amrforward.Forwarder
 	rollout *rollout
+	log     *slog.Logger
 }
 
 // Notices returns what other routers are to be told of since the last call.
@@ -26,6 +28,9 @@
 func (b gossipBeliefs) Heard(now time.Time, n amrgossip.Notice) {
 	b.fleet.Heard(now, n)
 	b.forward.Heard(now, n.Strikes)
+	if r := n.Rollout; r != nil {
+		b.log.Info("rollout told by its holder", "from", n.From, "row-version", r.Row, "changing", len(r.Changing), "done", len(r.Done))
+	}
 }
 
 // Urgent returns a channel that is ready when something is to be told of at
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -156,7 +156,7 @@
 	)
 	r.rollout = r.newRollout()
 	r.beliefs = &beliefs{decoder: ports.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout}
-	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipBeliefs{fleet: r.fleet, forward: r.forward, rollout: r.rollout}, r.clock, r.log)
+	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipBeliefs{fleet: r.fleet, forward: r.forward, rollout: r.rollout, log: r.log}, r.clock, r.log)
 	r.follow()
 	r.register(r.registry)
 	return r
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -32,9 +32,9 @@
 	maxParts   = 25
 	maxStrikes = 8
 
-	// maxChanges bounds the changes of weights in a notice of them, which goes
-	// by itself. With more, the others learn of them from the shared rows.
-	maxChanges = 32
+	// maxChanges bounds the changes of weights in a notice of them, which go by
+	// themselves.
+	maxChanges = 24
 )
 
 // Notice is what a router tells the others.
@@ -51,8 +51,8 @@
 // Rollout is what the holder of the lease of orders tells of a rollout.
 type Rollout struct {
 	_        struct{} `cbor:",toarray"`
-	Row      uint64   // Version of the shared row that has the changes.
-	Changing []Change // All servers that are about to change their weights, or change them.
+	Row      uint64   // Version of the shared row that has the changes; 0 where only Done is told.
+	Changing []Change // Servers that are about to change their weights, or change them. Notices of one row add up.
 	Done     []Change // Those that have just done so.
 }
 
@@ -216,10 +216,7 @@
 // split returns the notices, each small enough for a datagram, that tell all of
 // what is to be told.
 func split(all Notice) []Notice {
-	var notices []Notice
-	if r := all.Rollout; r != nil && len(r.Changing)+len(r.Done) <= maxChanges {
-		notices = append(notices, Notice{Rollout: r})
-	}
+	notices := splitRollout(all.Rollout)
 	loads, parts, strikes := all.Loads, all.Parts, all.Strikes
 	for len(loads) > 0 || len(parts) > 0 || len(strikes) > 0 {
 		n, m, k := min(len(loads), maxLoads), min(len(parts), maxParts), min(len(strikes), maxStrikes)
@@ -229,6 +226,23 @@
 	return notices
 }
 
+func splitRollout(r *Rollout) []Notice {
+	if r == nil {
+		return nil
+	}
+	var notices []Notice
+	for done := range slices.Chunk(r.Done, maxChanges) {
+		notices = append(notices, Notice{Rollout: &Rollout{Done: done}})
+	}
+	for changing := range slices.Chunk(r.Changing, maxChanges) {
+		notices = append(notices, Notice{Rollout: &Rollout{Row: r.Row, Changing: changing}})
+	}
+	if r.Row > 0 && len(r.Changing) == 0 {
+		notices = append(notices, Notice{Rollout: &Rollout{Row: r.Row}})
+	}
+	return notices
+}
+
 func (e *Exchange) tell(conn *net.UDPConn, notice Notice) {
 	data, err := cbor.Marshal(notice)
 	if err != nil || len(data) > maxDatagram {
--- a/core/amrgossip/exchange_test.go
+++ b/core/amrgossip/exchange_test.go
@@ -77,11 +77,13 @@
 	for i := range strikes {
 		teller.strikes = append(teller.strikes, amrgossip.Strike{Fingerprint: [16]byte{byte(i)}, Cleared: i%2 == 0})
 	}
+	const changes = 60
 	teller.rollout = &amrgossip.Rollout{Row: 9, Done: []amrgossip.Change{{Server: 1, Model: "m1", Version: 2}}}
-	for i := range 20 {
+	for i := range changes {
 		teller.rollout.Changing = append(teller.rollout.Changing, amrgossip.Change{Server: 1<<63 + uint64(i), Model: "a-model-with-a-long-name", Version: 1000 + i})
 	}
 	rollout := *teller.rollout
+	var heardRollout amrgossip.Rollout
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clock := clockwork.NewRealClock()
 	from, to := freeAddress(t), freeAddress(t)
@@ -102,14 +104,15 @@
 
 	group.Go(func() error { return sender.Run(ctx) })
 	teller.changed <- struct{}{}
-	heardLoads, heardParts, heardStrikes, heardRollouts := 0, 0, 0, 0
-	for heardLoads < loads || heardParts < parts || heardStrikes < strikes || heardRollouts < 1 {
+	heardLoads, heardParts, heardStrikes := 0, 0, 0
+	for heardLoads < loads || heardParts < parts || heardStrikes < strikes || len(heardRollout.Changing) < changes {
 		select {
 		case n := <-listener.heard:
 			is.Equal(n.From, "r1")
-			if n.Rollout != nil {
-				is.Equal(*n.Rollout, rollout)
-				heardRollouts++
+			if r := n.Rollout; r != nil {
+				heardRollout.Row = max(heardRollout.Row, r.Row)
+				heardRollout.Changing = append(heardRollout.Changing, r.Changing...)
+				heardRollout.Done = append(heardRollout.Done, r.Done...)
 			}
 			heardLoads += len(n.Loads)
 			heardStrikes += len(n.Strikes)
@@ -121,6 +124,7 @@
 			t.Fatalf("heard %d loads and %d parts", heardLoads, heardParts)
 		}
 	}
+	is.Equal(heardRollout, rollout)
 	cancel()
 	is.NoErr(group.Wait())
 	is.Equal(len(teller.heard), 0) // A router does not tell itself.
--- a/core/amrpool/gossip.go
+++ b/core/amrpool/gossip.go
@@ -139,13 +139,16 @@
 	if r.Row < f.changesRow {
 		return
 	}
-	f.changesRow = r.Row
-	changes := make(map[uint64]Change, len(r.Changing))
-	for _, c := range r.Changing {
-		changes[c.Server] = Change{Model: c.Model, Version: c.Version}
+	if r.Row > f.changesRow {
+		f.changesRow = r.Row
+		for _, s := range f.byName {
+			s.change = Change{}
+		}
 	}
-	for hash, s := range f.byHash {
-		s.change = changes[hash]
+	for _, c := range r.Changing {
+		if s := f.byHash[c.Server]; s != nil {
+			s.change = Change{Model: c.Model, Version: c.Version}
+		}
 	}
 }
 
