--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -95,10 +95,11 @@
 	start := x.f.clock.Now()
 	for {
 		now := x.f.clock.Now()
-		choice, reason := x.f.fleet.Pick(now, x.poolRequest())
+		choice, denial := x.f.fleet.Pick(now, x.poolRequest())
 		if choice != nil {
 			return choice, nil
 		}
+		reason := denial.Reason
 		switch {
 		case reason == amrpool.PartsPending && now.Sub(start) < partsLimit:
 		case reason == amrpool.PartsPending:
@@ -107,7 +108,7 @@
 		case reason == amrpool.AllChanging && now.Sub(start) < pollLimit:
 		case reason == amrpool.NoServer && now.Sub(x.f.started) < x.f.warmUp:
 		default:
-			return nil, x.unserved(reason)
+			return nil, x.unserved(denial)
 		}
 		select {
 		case <-ctx.Done():
@@ -118,18 +119,18 @@
 }
 
 // unserved is the refusal of a request for which there is no server.
-func (x *exchange) unserved(reason amrpool.Reason) *refusal {
+func (x *exchange) unserved(denial amrpool.Denial) *refusal {
 	code, retry := amrreason.NoBackendServer, noServerRetry
-	if reason == amrpool.StaleWeights {
+	if denial.Reason == amrpool.StaleWeights {
 		code = amrreason.WrongWeights
 	}
 	if x.rejections > 0 {
 		code, retry = amrreason.Overloaded, busyRetry
 	}
-	if reason == amrpool.Overloaded {
+	if denial.Reason == amrpool.Overloaded {
 		code, retry = amrreason.Overloaded, overloadRetry
 	}
-	return x.refusal(code, retry, reason.String())
+	return x.refusal(code, retry, denial.String())
 }
 
 // refusal is the refusal with what is known of whether the request ran.
--- a/core/amrpool/overload.go
+++ b/core/amrpool/overload.go
@@ -31,21 +31,22 @@
 }
 
 // overloaded reports whether the request would wait too long at the chosen
-// server while its pool is overloaded.
-func (f *Fleet) overloaded(now time.Time, r Request, c candidate, eligible []*server) bool {
+// server while its pool is overloaded, and what that is judged by.
+func (f *Fleet) overloaded(now time.Time, r Request, c candidate, eligible []*server) (Denial, bool) {
 	if r.MaxWait <= 0 {
-		return false
+		return Denial{}, false
 	}
 	longest := r.MaxWait.Seconds()
 	if r.Urgent {
 		longest *= urgentWait
 	}
-	mean := f.press(now, r.Pool, eligible).Seconds()
-	if mean < calmShare*longest {
-		return false
+	mean := f.press(now, r.Pool, eligible)
+	if mean.Seconds() < calmShare*longest {
+		return Denial{}, false
 	}
-	limit := min(longest, max(pressedShare*longest, spreadShare*longest-mean))
-	return f.reading(float64(f.pending(now, c.server))).Seconds() > limit
+	limit := min(longest, max(pressedShare*longest, spreadShare*longest-mean.Seconds()))
+	wait := f.reading(float64(f.pending(now, c.server)))
+	return Denial{Reason: Overloaded, Server: c.server.Name, Wait: wait, Mean: mean}, wait.Seconds() > limit
 }
 
 // press takes the waits of the servers into the mean of their pool, which it
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -115,6 +115,23 @@
 	return [...]string{"no-server", "all-excluded", "stale-weights", "all-changing", "parts-pending", "overloaded"}[r]
 }
 
+// Denial says why no server could be chosen, with what decided it.
+type Denial struct {
+	Reason Reason
+	Server string        // Of Overloaded: the server that would have been chosen,
+	Wait   time.Duration // the time in which it reads what waits there, and
+	Mean   time.Duration // the mean of this over the pool and the last while.
+}
+
+// String returns the denial as it appears in logs.
+func (d Denial) String() string {
+	if d.Reason != Overloaded {
+		return d.Reason.String()
+	}
+	return d.Reason.String() + " server=" + d.Server +
+		" wait=" + d.Wait.Round(time.Millisecond).String() + " mean-wait=" + d.Mean.Round(time.Millisecond).String()
+}
+
 // candidate is a server with what choosing it would mean.
 type candidate struct {
 	server  *server
@@ -124,13 +141,13 @@
 }
 
 // Pick chooses a server for the request and counts the request there. It
-// returns the reason where there is none.
-func (f *Fleet) Pick(now time.Time, r Request) (*Choice, Reason) {
+// returns why where there is none.
+func (f *Fleet) Pick(now time.Time, r Request) (*Choice, Denial) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	eligible, reason := f.eligible(now, r)
 	if len(eligible) == 0 {
-		return nil, reason
+		return nil, Denial{Reason: reason}
 	}
 	p := f.prompt(now, r, eligible)
 	best := candidate{}
@@ -140,13 +157,13 @@
 			best = c
 		}
 	}
-	if f.overloaded(now, r, best, eligible) {
-		return nil, Overloaded
+	if denial, overloaded := f.overloaded(now, r, best, eligible); overloaded {
+		return nil, denial
 	}
 	if !r.Impatient && f.partsPending(now, best, p) {
-		return nil, PartsPending
+		return nil, Denial{Reason: PartsPending}
 	}
-	return f.choose(now, r, best, p), 0
+	return f.choose(now, r, best, p), Denial{}
 }
 
 // eligible returns the servers that may run the request: those in no trouble,
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -162,9 +162,9 @@
 		}
 		r.MaxWait = d
 	}
-	choice, reason := s.fleet.Pick(s.clock.Now(), r)
+	choice, denial := s.fleet.Pick(s.clock.Now(), r)
 	if choice == nil {
-		return reason.String()
+		return denial.String()
 	}
 	s.choices[words[0]] = choice
 	out := choice.Name
