--- a/core/amrdirect/serve.go
+++ b/core/amrdirect/serve.go
@@ -33,8 +33,9 @@
 	Grace time.Duration // For requests in progress after that.
 }
 
-// unlimitedHeader is the largest header of a caller before the records tell.
-const unlimitedHeader = 64 << 10
+// maxHeaderBytes bounds the header of a caller's request whatever the records
+// allow.
+const maxHeaderBytes = 64 << 10
 
 // ListenAndServe serves the interfaces and runs the router until ctx is done.
 // Then it turns unready, waits until the balancer has noticed, and ends when the
@@ -66,7 +67,7 @@
 		return nil
 	})
 	limits := amrserve.DefaultLimits
-	limits.HeaderBytes = unlimitedHeader
+	limits.HeaderBytes = maxHeaderBytes
 	err := r.serve(closing, i.Callers, limits, stopping.Grace, amrserve.WithCallerConns(callers))
 	r.log.Info("stopped serving callers", "err", err)
 	if err != nil {
--- a/core/amrserve/callers.go
+++ b/core/amrserve/callers.go
@@ -48,7 +48,8 @@
 	answered              // For the answer to a request.
 )
 
-// NewCallerConns returns the limits' keeper for one server.
+// NewCallerConns returns the connections of one server, which has none yet. The
+// function tells the limits in force.
 func NewCallerConns(clock clockwork.Clock, limits func() CallerLimits) *CallerConns {
 	return &CallerConns{limits: limits, clock: clock, conns: make(map[net.Conn]*callerConn)}
 }
--- a/core/amrserve/http.go
+++ b/core/amrserve/http.go
@@ -45,8 +45,8 @@
 // Option configures a server.
 type Option func(*http.Server, net.Listener) net.Listener
 
-// WithCallerConns holds the server's connections to limits that may change. The
-// keeper's Run has to run beside the server.
+// WithCallerConns holds the server's connections to limits that may change. Run
+// of c has to run beside the server.
 func WithCallerConns(c *CallerConns) Option {
 	return func(s *http.Server, l net.Listener) net.Listener {
 		s.ConnState = c.Track
