--- a/core/amrhttp/transport_test.go
+++ b/core/amrhttp/transport_test.go
@@ -90,11 +90,21 @@
 			return nil
 		}
 		if early {
+			s.awaitConns(2) // It reads on later: had it read all, the connection could be used again.
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
 	}
 }
 
+// awaitConns waits until the server has had so many connections, or a while.
+func (s *server) awaitConns(n int64) {
+	clock := clockwork.NewRealClock()
+	deadline := clock.Now().Add(2 * time.Second)
+	for s.conns.Load() < n && clock.Now().Before(deadline) {
+		clock.Sleep(time.Millisecond)
+	}
+}
+
 // TestTransport plays testdata/transport: each case has the answers of a
 // server, as they are on the wire, and prints what the requests get.
 func TestTransport(t *testing.T) {
