--- a/standin/amrengine/engine.go
+++ b/standin/amrengine/engine.go
@@ -142,6 +142,15 @@
 	e.settings.poison = text
 }
 
+// PauseAt lets answers go no further than the number of tokens, resumed ones
+// counted, until it is called with a higher one. With 0 they go on to their ends.
+func (e *Engine) PauseAt(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings.pauseAt = tokens
+	e.scheduler.settings.pauseAt = tokens
+}
+
 // FailLoads makes orders to load weights fail until it is called with false.
 func (e *Engine) FailLoads(fail bool) {
 	e.mu.Lock()
--- a/standin/amrengine/options.go
+++ b/standin/amrengine/options.go
@@ -52,6 +52,7 @@
 	downTime     time.Duration
 	transferTime time.Duration
 	poison       string
+	pauseAt      int // In tokens; 0 for no pause.
 	weightStore  WeightStore
 	directory    *Directory
 }
--- a/standin/amrengine/scheduler.go
+++ b/standin/amrengine/scheduler.go
@@ -239,6 +239,9 @@
 
 // emit adds a token to the answer and reports whether it was the last.
 func (s *scheduler) emit(j *job, now time.Time) bool {
+	if s.settings.pauseAt > 0 && j.emitted >= s.settings.pauseAt {
+		return false
+	}
 	if j.emitted < j.maxTokens {
 		j.emitted++
 	}
--- a/standin/amrfleet/fleet.go
+++ b/standin/amrfleet/fleet.go
@@ -29,7 +29,6 @@
 )
 
 const (
-	anyPort        = "127.0.0.1:0"
 	availableWait  = 10 * time.Second
 	readyPoll      = 5 * time.Millisecond
 	stopDelay      = 50 * time.Millisecond
@@ -258,7 +257,7 @@
 	settings.BodyBytes = largeBodyBytes
 	settings.GateTLS = f.Config.GateTLS
 	settings.CallersTLS = f.Config.CallersTLS
-	r := &RouterProcess{settings: settings, callers: anyPort, operators: anyPort, peers: anyPort}
+	r := &RouterProcess{settings: settings}
 	f.Routers = append(f.Routers, r)
 	return f.StartRouter(r)
 }
@@ -277,7 +276,7 @@
 	if err != nil {
 		return err
 	}
-	if r.callers == anyPort { // Callers may read the addresses while the router restarts.
+	if r.callers == "" { // Callers may read the addresses while the router restarts.
 		r.callers, r.operators, r.peers = callers.Addr().String(), operators.Addr().String(), peers.Addr().String()
 		r.settings.CallersAddress, r.settings.OperatorsAddress, r.settings.PeersAddress = r.callers, r.operators, r.peers
 	}
@@ -302,7 +301,7 @@
 }
 
 func (f *Fleet) serveOutside(name string, handler http.Handler) (string, error) {
-	l, err := listen(anyPort)
+	l, err := listen("")
 	if err != nil {
 		return "", err
 	}
--- a/standin/amrfleet/process.go
+++ b/standin/amrfleet/process.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
+
+	"amaranthreach.example/standin/amrport"
 )
 
 const (
@@ -77,9 +79,13 @@
 	dead  bool
 }
 
-// listen opens a socket on the address, which may leave the port open. A port
-// that an outgoing connection has taken meanwhile is awaited.
+// listen opens a socket on the address, or on any port of the loopback address
+// if it is empty. A port that another process has taken meanwhile is awaited.
 func listen(address string) (*trackedListener, error) {
+	if address == "" {
+		l, err := amrport.Listen()
+		return track(l), err
+	}
 	l, err := net.Listen("tcp", address)
 	ticker := clockwork.NewRealClock().NewTicker(listenPause)
 	defer ticker.Stop()
@@ -87,10 +93,11 @@
 		<-ticker.Chan()
 		l, err = net.Listen("tcp", address)
 	}
-	if err != nil {
-		return nil, err
-	}
-	return &trackedListener{Listener: l, conns: make(map[net.Conn]struct{})}, nil
+	return track(l), err
+}
+
+func track(l net.Listener) *trackedListener {
+	return &trackedListener{Listener: l, conns: make(map[net.Conn]struct{})}
 }
 
 // Accept waits for the next connection and keeps track of it.
--- a/standin/amrfleet/server.go
+++ b/standin/amrfleet/server.go
@@ -69,7 +69,6 @@
 	if s.url, err = f.serveOutside(s.Name, handler); err != nil {
 		return err
 	}
-	s.address, s.metrics = anyPort, anyPort
 	f.Servers = append(f.Servers, s)
 	return f.StartSidecar(s)
 }
@@ -85,7 +84,9 @@
 	if err != nil {
 		return err
 	}
-	s.address, s.metrics = gate.Addr().String(), metrics.Addr().String()
+	if s.address == "" { // Others may read the addresses while the sidecar restarts.
+		s.address, s.metrics = gate.Addr().String(), metrics.Addr().String()
+	}
 	settings := amrsidecar.DefaultSettings()
 	settings.Name = s.Name
 	settings.AvailabilityZone = s.AvailabilityZone
--- a/standin/amrfleet/stream_test.go
+++ b/standin/amrfleet/stream_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -33,17 +34,33 @@
 	} `json:"error"`
 }
 
+// cuts says by event of an answer how what serves it is broken.
+type cuts map[int]string
+
+// after returns the first cut after the event, or 0 if there is none.
+func (c cuts) after(event int) int {
+	first := 0
+	for at := range c {
+		if at > event && (first == 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
 // stream reads a streamed answer. An argument such as at3=crash-engine breaks
-// what serves it after the third event. It returns the text, how it ended, and the runs of the engines.
+// what serves it after the third event; the engines go no further until it is
+// broken. It returns the text, how it ended, and the runs of the engines.
 func stream(t *testing.T, fleet *amrfleet.Fleet, d *datadriven.TestData) string {
 	t.Helper()
 	is := is.New(t)
-	cuts := map[int]string{}
+	cuts := cuts{}
 	for _, arg := range d.CmdArgs {
 		at, err := strconv.Atoi(strings.TrimPrefix(arg.Key, "at"))
 		is.NoErr(err)
 		cuts[at] = arg.Vals[0]
 	}
+	pauseEngines(fleet, cuts.after(0))
 	before := outcomes(fleet)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -62,6 +79,7 @@
 		return render(response, body)
 	}
 	events := 0
+	var broken []*amrfleet.Server
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
 		data, found := strings.CutPrefix(scanner.Text(), "data: ")
@@ -80,44 +98,60 @@
 			fmt.Fprintf(&b, "error %s, %s\n", event.Error.Code, event.Error.Ran)
 		}
 		events++
-		breakServer(t, fleet, cuts[events])
+		if cuts[events] != "" {
+			broken = append(broken, breakServer(t, fleet, cuts[events], broken, cuts.after(events)))
+		}
 	}
 	return text + "\n" + b.String() + difference(outcomes(fleet), before)
 }
 
-// breakServer breaks the server that is running a request.
-func breakServer(t *testing.T, fleet *amrfleet.Fleet, how string) {
+// pauseEngines lets the engines go no further than the number of tokens.
+func pauseEngines(fleet *amrfleet.Fleet, tokens int) {
+	for _, s := range fleet.Servers {
+		if s.Engine != nil {
+			s.Engine.PauseAt(tokens)
+		}
+	}
+}
+
+// breakServer breaks the server that is running a request, which is none of
+// those broken before, and lets the engines go on to the next pause.
+func breakServer(t *testing.T, fleet *amrfleet.Fleet, how string, broken []*amrfleet.Server, pause int) *amrfleet.Server {
 	t.Helper()
-	if how == "" {
-		return
+	is := is.New(t)
+	s := runner(fleet, broken)
+	if s == nil {
+		t.Fatalf("no server runs the request at the event of %s", how)
+	}
+	switch how {
+	case "crash-engine":
+		s.Engine.CrashFor(time.Minute)
+	case "kill-sidecar":
+		s.Sidecar.Kill()
+		is.NoErr(fleet.StartSidecar(s))
+	case "drain-sidecar":
+		pauseEngines(fleet, pause) // The sidecar stops when its requests have ended.
+		is.NoErr(s.Sidecar.Stop())
+		is.NoErr(fleet.StartSidecar(s))
+	default:
+		t.Fatalf("unknown cut %s", how)
 	}
+	pauseEngines(fleet, pause)
+	return s
+}
+
+// runner returns the server that runs a request, or nil.
+func runner(fleet *amrfleet.Fleet, broken []*amrfleet.Server) *amrfleet.Server {
 	for _, s := range fleet.Servers {
-		if s.Engine == nil || !running(s.Engine) {
-			continue
-		}
-		switch how {
-		case "crash-engine":
-			s.Engine.CrashFor(time.Minute)
-		case "kill-sidecar":
-			s.Sidecar.Kill()
-			is.New(t).NoErr(fleet.StartSidecar(s))
-		case "drain-sidecar":
-			is.New(t).NoErr(s.Sidecar.Stop())
-			is.New(t).NoErr(fleet.StartSidecar(s))
-		default:
-			t.Fatalf("unknown cut %s", how)
+		if s.Engine != nil && running(s.Engine) && !slices.Contains(broken, s) {
+			return s
 		}
-		return
 	}
+	return nil
 }
 
 func running(e *amrengine.Engine) bool {
-	for _, run := range e.Log() {
-		if run.Outcome == amrengine.OutcomeRunning {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.Log(), func(run amrengine.Run) bool { return run.Outcome == amrengine.OutcomeRunning })
 }
 
 // outcomes counts the runs of the engines by outcome.
--- /dev/null
+++ b/standin/amrport/port_test.go
@@ -0,0 +1,31 @@
+package amrport
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestAddress checks that addresses are free, differ, and lie below the ports
+// of outgoing connections.
+func TestAddress(t *testing.T) {
+	const (
+		addresses     = 200
+		firstOutgoing = 32_768
+	)
+	is := is.New(t)
+	seen := make(map[string]bool)
+	for range addresses {
+		address, err := Address()
+		is.NoErr(err)
+		is.True(!seen[address])
+		seen[address] = true
+		tcp, err := net.ResolveTCPAddr("tcp", address)
+		is.NoErr(err)
+		is.True(tcp.Port < firstOutgoing)
+		listener, err := net.Listen("tcp", address)
+		is.NoErr(err)
+		is.NoErr(listener.Close())
+	}
+}
--- a/standin/amrreplay/operate.go
+++ b/standin/amrreplay/operate.go
@@ -36,8 +36,11 @@
 }
 
 // raceOperators lets operators change the routing policy on the same base, and
-// fails unless exactly one of them succeeds.
+// fails unless exactly one of them succeeds. Races come one after the other, as
+// the winner of one would change the base of the other.
 func (p *play) raceOperators(ctx context.Context) error {
+	p.racing.Lock()
+	defer p.racing.Unlock()
 	set, err := p.fleet.Store().Load(ctx)
 	for err != nil {
 		p.wait(ctx, operatorPause)
@@ -51,7 +54,8 @@
 	var group errgroup.Group
 	for range racingOperators {
 		mine := policy
-		mine.Deadline += time.Duration(p.races.Add(1)) * time.Millisecond // No two write the same.
+		p.races++
+		mine.Deadline += time.Duration(p.races) * time.Millisecond // No two write the same.
 		c := change(amrrecord.Record{Name: routingPolicy, Spec: mine})
 		c.Base = set.Revision()
 		group.Go(func() error {
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,7 +42,8 @@
 	begin    time.Time
 	calls    []call
 	killed   errgroup.Group         // Processes that were killed and have not ended.
-	races    atomic.Int64           // Changes by racing operators so far.
+	racing   sync.Mutex             // Held while operators race.
+	races    int                    // Changes by racing operators so far.
 	failing  map[string]*sync.Mutex // By process: held while it fails, so that faults of one come one after the other.
 }
 
