--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -27,6 +27,11 @@
 	Hang            // It answers nothing.
 )
 
+const (
+	stampPrefix = "stamp-of-"
+	shortAnswer = "the whole answer of "
+)
+
 // Server is a backend server: an engine where it has a model, a plain service
 // otherwise. It remembers what it ran.
 type Server struct {
@@ -47,6 +52,7 @@
 	events   int
 	pause    time.Duration // Between events.
 	loading  time.Duration
+	observe  func(Run) // Called with each run as it begins; may be nil.
 }
 
 // Order is an order that a server took.
@@ -59,6 +65,7 @@
 // Run is a request that a server ran.
 type Run struct {
 	ID      string
+	Server  string
 	Header  http.Header
 	Version int // Of the weights.
 	Resumed string
@@ -80,6 +87,20 @@
 	s.fault, s.faults = f, n
 }
 
+// SetStream sets the number of events of streams and the time between two.
+func (s *Server) SetStream(events int, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.pause = events, pause
+}
+
+// Observe has f called with each run as it begins, in place of remembering it.
+func (s *Server) Observe(f func(Run)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = f
+}
+
 // NameVersion tells the server of a version that it may be ordered to load.
 func (s *Server) NameVersion(version int) {
 	s.mu.Lock()
@@ -174,7 +195,7 @@
 	}
 	h := w.Header()
 	h.Set("Amaranthreach-Attempt-Id", r.Header.Get("Amaranthreach-Attempt-Id"))
-	h.Set("Amaranthreach-Server-Stamp", "stamp-of-"+s.Name)
+	h.Set("Amaranthreach-Server-Stamp", stampPrefix+s.Name)
 	h.Set("Amaranthreach-Instance-Load", "1,0,8")
 	if s.Model != "" {
 		h.Set("Amaranthreach-Weight-Versions", strconv.Itoa(version))
@@ -217,10 +238,15 @@
 	if fault == Reject || s.busy {
 		return http.StatusServiceUnavailable, fault, 0
 	}
-	s.runs = append(s.runs, Run{
-		ID: r.Header.Get("Amaranthreach-Attempt-Id"), Header: r.Header.Clone(),
+	run := Run{
+		ID: r.Header.Get("Amaranthreach-Attempt-Id"), Server: s.Name, Header: r.Header.Clone(),
 		Version: s.version, Resumed: r.Header.Get("Last-Event-Id"),
-	})
+	}
+	if s.observe != nil {
+		s.observe(run)
+	} else {
+		s.runs = append(s.runs, run)
+	}
 	for part := range strings.SplitSeq(r.Header.Get("Amaranthreach-Prefix-Hash"), ",") {
 		s.parts[r.Header.Get("Amaranthreach-Cache-Salt")+"/"+part] = true
 	}
@@ -237,15 +263,14 @@
 }
 
 func (s *Server) short(w http.ResponseWriter, fault Fault) {
-	const text = "the whole answer of "
-	w.Header().Set("Content-Length", strconv.Itoa(len(text+s.Name)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(shortAnswer+s.Name)))
 	w.WriteHeader(http.StatusOK)
 	if fault == BreakOff {
-		_, _ = io.WriteString(w, text) // The caller notices.
+		_, _ = io.WriteString(w, shortAnswer) // The caller notices.
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.WriteString(w, text+s.Name) // The caller notices.
+	_, _ = io.WriteString(w, shortAnswer+s.Name) // The caller notices.
 }
 
 // stream answers with events that have increasing ids, from behind the one that
@@ -257,7 +282,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for id := first + 1; id <= s.events; id++ {
-		fmt.Fprintf(w, "id: %d\ndata: token\n\n", id)
+		writeEvent(w, id)
 		_ = http.NewResponseController(w).Flush() // The caller notices.
 		s.clock.Sleep(s.pause)
 		if fault == BreakOff && id == s.events/2 {
@@ -267,3 +292,7 @@
 		}
 	}
 }
+
+func writeEvent(w io.Writer, id int) {
+	fmt.Fprintf(w, "id: %d\ndata: token\n\n", id)
+}
--- a/standin/amrsite/store.go
+++ b/standin/amrsite/store.go
@@ -32,8 +32,9 @@
 
 // StoreFaults are the faults of a Store.
 type StoreFaults struct {
-	Down        bool // Every call is answered 503 and does nothing.
-	LostAnswers bool // Transactions are applied and not answered.
+	Down        bool          // Every call is answered 503 and does nothing.
+	LostAnswers bool          // Transactions are applied and not answered.
+	ClockAhead  time.Duration // Of the time that answers tell.
 }
 
 type rowName struct {
@@ -170,7 +171,7 @@
 func (s *Store) answer(w http.ResponseWriter, status int, rows []rowJSON, hasMore bool) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(rowsJSON{Rows: rows, HasMore: hasMore, Ver: s.version, NowMs: s.clock.Now().UnixMilli()}) // The caller notices.
+	_ = json.NewEncoder(w).Encode(rowsJSON{Rows: rows, HasMore: hasMore, Ver: s.version, NowMs: s.clock.Now().Add(s.faults.ClockAhead).UnixMilli()}) // The caller notices.
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
@@ -254,7 +255,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.ContainsFunc(append(slices.Clone(tx.Put), tx.Delete...), func(r rowJSON) bool { return r.Table == "op" || r.Table == "servers" }) {
+	if slices.ContainsFunc(append(slices.Clone(tx.Put), tx.Delete...), func(r rowJSON) bool { return r.Table == operatorTable || r.Table == serversTable }) {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
