--- a/standin/amrsite/records.go
+++ b/standin/amrsite/records.go
@@ -25,6 +25,13 @@
 	Reply = "reply" // A route of streams to Engines that may be resumed.
 )
 
+// SettingsVariable is the environment variable with the path of a router's
+// settings file.
+const SettingsVariable = "AMARANTHREACH_BOOT"
+
+// ReadyPath is the path at which a router tells whether it is ready.
+const ReadyPath = "/amaranthreach/ready"
+
 // Host is the host name that callers of a site ask for.
 const Host = "shop.example"
 
@@ -151,6 +158,13 @@
 	})
 }
 
+// PutGarbage writes rows that nobody can read beside those of servers and
+// versions.
+func (s *Store) PutGarbage() {
+	s.Put(serversTable, "ghost", []byte(`{"service":7}`))
+	s.Put(operatorTable, versionPrefix+"ghost", []byte("no version"))
+}
+
 func newRoute(name, kind, pool string) routeJSON {
 	return routeJSON{
 		Name: name, Host: Host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: routeTimeout.Milliseconds(), GoalMs: routeGoal.Milliseconds(),
--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -9,6 +9,13 @@
 	"time"
 )
 
+// The headers that a check of what servers get looks at.
+const (
+	TeamHeader     = "Amaranthreach-Tenant"
+	KeyHeader      = "Amaranthreach-Key"
+	DeadlineHeader = "Amaranthreach-Deadline-Ms"
+)
+
 // Request is a request of a caller of a site.
 type Request struct {
 	ID       string
@@ -28,8 +35,8 @@
 	request.Host = Host
 	h := request.Header
 	h.Set("Amaranthreach-Attempt-Id", r.ID)
-	h.Set("Amaranthreach-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
-	h.Set("Amaranthreach-Key", r.Key)
+	h.Set(DeadlineHeader, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	h.Set(KeyHeader, r.Key)
 	if r.Stream() {
 		h.Set("Amaranthreach-Model", r.Model)
 		h.Set("Amaranthreach-Token-Count", "1460,80")
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -60,6 +60,7 @@
 	Version int
 	Holder  string
 	Fence   uint64
+	At      time.Time
 }
 
 // Run is a request that a server ran.
@@ -168,7 +169,7 @@
 	default:
 		s.accepted++
 		s.busy = true
-		s.orders = append(s.orders, Order{Version: order.Version, Holder: order.Holder, Fence: order.Fence})
+		s.orders = append(s.orders, Order{Version: order.Version, Holder: order.Holder, Fence: order.Fence, At: s.clock.Now()})
 		s.clock.AfterFunc(s.loading, func() { s.load(order.Version) })
 		w.WriteHeader(http.StatusAccepted)
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 	"amaranthreach.example/standin/amrdemo"
 	"amaranthreach.example/standin/amrload"
 	"amaranthreach.example/standin/amrreplay"
+	"amaranthreach.example/standin/amrsoak"
 	"amaranthreach.example/standin/amrtrace"
 )
 
@@ -23,7 +24,7 @@
 		Use:   "standin",
 		Short: "Run stand-ins of the systems around the router",
 	}
-	c.AddCommand(demoCommand(), serveCommand(), slopesCommand(), amrreplay.Command(), amrreplay.SoakCommand(), amrload.Command(), amrtrace.Command())
+	c.AddCommand(demoCommand(), serveCommand(), slopesCommand(), amrreplay.Command(), amrreplay.SoakCommand(), amrsoak.Command(), amrload.Command(), amrtrace.Command())
 	return c
 }
 
