--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -227,7 +227,7 @@
 		return x.again(true, amrreason.EngineUnavailable)
 	}
 	x.note(choice, start, amrpool.Failed, err.Error())
-	x.judge(x.f.clock.Now(), amrpool.Failed)
+	x.judge(x.f.clock.Now(), choice.Name, amrpool.Failed)
 	return x.again(false, amrreason.EngineLost)
 }
 
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -43,7 +43,7 @@
 	switch {
 	case err == nil && a.Status < http.StatusInternalServerError:
 		x.note(choice, start, amrpool.Completed, "")
-		x.judge(x.f.clock.Now(), amrpool.Completed)
+		x.judge(x.f.clock.Now(), choice.Name, amrpool.Completed)
 		return true, nil
 	case err == nil:
 		x.note(choice, start, amrpool.Failed, "status "+strconv.Itoa(a.Status))
@@ -54,7 +54,7 @@
 	}
 	x.excluded = append(x.excluded, choice.Name)
 	x.note(choice, start, amrpool.Failed, err.Error())
-	x.judge(x.f.clock.Now(), amrpool.Failed)
+	x.judge(x.f.clock.Now(), choice.Name, amrpool.Failed)
 	if x.began && !x.canResume() {
 		return true, x.refusal(amrreason.EngineLost, 0, "the answer broke off")
 	}
--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrpool"
 	"amaranthreach.example/core/amrsuspect"
@@ -13,11 +15,12 @@
 
 // judge counts a strike for a run that broke off with its server, and forgets
 // those of a request that ran well.
-func (x *exchange) judge(now time.Time, result amrpool.Result) {
+func (x *exchange) judge(now time.Time, server string, result amrpool.Result) {
 	switch result {
 	case amrpool.Failed:
-		x.f.strikes.Add(now, x.fingerprint)
-		x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint})
+		hash := xxh3.HashString(server)
+		x.f.strikes.Add(now, x.fingerprint, hash)
+		x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Server: hash})
 	case amrpool.Completed:
 		if x.f.strikes.Clear(x.fingerprint) {
 			x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Cleared: true})
@@ -50,6 +53,6 @@
 			f.strikes.Clear(amrsuspect.Fingerprint(s.Fingerprint))
 			continue
 		}
-		f.strikes.Add(now, amrsuspect.Fingerprint(s.Fingerprint))
+		f.strikes.Add(now, amrsuspect.Fingerprint(s.Fingerprint), s.Server)
 	}
 }
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -69,6 +69,7 @@
 type Strike struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint [16]byte
+	Server      uint64 // Hash of its name.
 	Cleared     bool
 }
 
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -274,7 +274,7 @@
 	defer s.mu.Unlock()
 	s.weights++
 	for _, b := range s.servers {
-		b.Server.NameVersion(s.weights)
+		b.NameVersion(s.weights)
 	}
 	s.store.NameVersion(model, s.weights)
 }
