--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -201,6 +201,9 @@
 	if s.Model != "" {
 		h.Set("Amaranthreach-Weight-Versions", strconv.Itoa(version))
 	}
+	if r.URL.Query().Has(poisonQuery) {
+		fault = Drop
+	}
 	switch fault {
 	case Drop:
 		panic(http.ErrAbortHandler)
--- a/standin/amrsoak/process.go
+++ b/standin/amrsoak/process.go
@@ -19,6 +19,10 @@
 // exitWait bounds a graceful stop of a process.
 const exitWait = 15 * time.Second
 
+// bootTime is the time from the start of a process until it can take signals.
+// Before that the system ends it by them, whatever the program does.
+const bootTime = 20 * time.Millisecond
+
 // Process is a router's process, which may end and start again.
 type Process struct {
 	name    string
@@ -35,6 +39,7 @@
 // life is the process from one start to its end.
 type life struct {
 	cmd      *exec.Cmd
+	started  time.Time
 	done     chan struct{}
 	mu       sync.Mutex
 	expected bool // It was told to end.
@@ -69,7 +74,7 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Join(err, log.Close())
 	}
-	l := &life{cmd: cmd, done: make(chan struct{})}
+	l := &life{cmd: cmd, started: p.clock.Now(), done: make(chan struct{})}
 	p.life = l
 	p.group.Go(func() error {
 		defer close(l.done)
@@ -89,6 +94,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.life != nil {
+		p.clock.Sleep(bootTime - p.clock.Since(p.life.started))
 		_ = p.life.cmd.Process.Signal(signal) // It may have ended, which is noticed elsewhere.
 	}
 }
