--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -51,6 +51,7 @@
 	faults   int // Requests that the fault is still for; below 0 for all.
 	events   int
 	pause    time.Duration // Between events.
+	work     time.Duration // Of a plain service for a request.
 	loading  time.Duration
 	observe  func(Run) // Called with each run as it begins; may be nil.
 }
@@ -95,6 +96,13 @@
 	s.events, s.pause = events, pause
 }
 
+// SetWork sets the time that a plain service takes for a request.
+func (s *Server) SetWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = d
+}
+
 // Observe has f called with each run as it begins, in place of remembering it.
 func (s *Server) Observe(f func(Run)) {
 	s.mu.Lock()
@@ -204,6 +212,9 @@
 	if r.URL.Query().Has(poisonQuery) {
 		fault = Drop
 	}
+	if s.Model == "" {
+		s.clock.Sleep(s.workTime())
+	}
 	switch fault {
 	case Drop:
 		panic(http.ErrAbortHandler)
@@ -257,6 +268,12 @@
 	return 0, fault, s.version
 }
 
+func (s *Server) workTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.work
+}
+
 func (s *Server) wrongHead(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -25,6 +25,7 @@
 	model       = "m1"
 	events      = 8 // Of a stream.
 	eventPause  = 20 * time.Millisecond
+	serviceWork = 60 * time.Millisecond // Of a plain service for a request.
 	serverGrace = 100 * time.Millisecond // For requests at a server that stops.
 	readyPoll   = 20 * time.Millisecond
 	readyWait   = 10 * time.Second
@@ -157,6 +158,7 @@
 func (s *site) addServer(ctx context.Context, name, pool, model string) error {
 	backend := amrsite.NewServer(s.clock, name, model)
 	backend.SetStream(events, eventPause)
+	backend.SetWork(serviceWork)
 	backend.Observe(s.check.ran)
 	address, err := s.serve(ctx, backend.Handler())
 	if err != nil {
