--- a/standin/amrsoak/load.go
+++ b/standin/amrsoak/load.go
@@ -13,12 +13,15 @@
 )
 
 const (
-	sendGap     = 20 * time.Millisecond
+	sendGap     = 5 * time.Millisecond
 	deadline    = 1500 * time.Millisecond
 	patience    = 3 * time.Second // Beyond the deadline, after which a caller leaves.
 	outstanding = 300             // Requests at once.
 	prompts     = 12              // Shared first parts.
 
+	balancePoll = 200 * time.Millisecond
+	astray      = 0.1 // Share of the requests that go to any router, ready or not.
+
 	revocableShare = 0.2 // Of the requests that use the key that is revoked now and then.
 )
 
@@ -43,12 +46,35 @@
 	if random.Float64() < revocableShare {
 		key = revocableKey
 	}
-	return s.routers[random.IntN(len(s.routers))], amrsite.Request{
+	return s.balance(random), amrsite.Request{
 		ID: id, Route: routes[random.IntN(len(routes))], Key: key, Model: model, Deadline: deadline,
 		Parts: fmt.Sprintf("%08x:800,%08x:410,%s:250", random.IntN(prompts), random.IntN(prompts), id),
 	}
 }
 
+// balance returns a router as a balancer does that asks all whether they are
+// ready. Some callers do not go by it.
+func (s *site) balance(random *rand.Rand) *router {
+	var ready []*router
+	for _, r := range s.routers {
+		if r.serving.Load() {
+			ready = append(ready, r)
+		}
+	}
+	if len(ready) == 0 || random.Float64() < astray {
+		ready = s.routers
+	}
+	return ready[random.IntN(len(ready))]
+}
+
+// watch keeps asking the router whether it is ready, until ctx is done.
+func (s *site) watch(ctx context.Context, r *router) {
+	for ctx.Err() == nil {
+		r.serving.Store(r.ready(ctx))
+		_ = amrpace.SleepUntil(ctx, s.clock, s.clock.Now().Add(balancePoll)) // The loop ends with ctx.
+	}
+}
+
 // send sends a request over the router's kept connections and checks its
 // answer. It reports whether the answer is a whole success.
 func (s *site) send(r *router, request amrsite.Request) bool {
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 	model       = "m1"
 	events      = 8 // Of a stream.
 	eventPause  = 20 * time.Millisecond
-	serviceWork = 60 * time.Millisecond // Of a plain service for a request.
+	serviceWork = 60 * time.Millisecond  // Of a plain service for a request.
 	serverGrace = 100 * time.Millisecond // For requests at a server that stops.
 	readyPoll   = 20 * time.Millisecond
 	readyWait   = 10 * time.Second
@@ -59,6 +60,7 @@
 	health  string
 	peers   string
 	client  *http.Client
+	serving atomic.Bool // By the last look of the balancer.
 }
 
 // server is a backend server behind a link.
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -92,6 +92,9 @@
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	var group errgroup.Group
+	for _, r := range s.routers {
+		group.Go(func() error { s.watch(loading, r); return nil })
+	}
 	group.Go(func() error { return s.load(loading, random, "request") })
 	err := s.inject(ctx, faults)
 	stop()
