--- a/amrctl/amrcommand/client.go
+++ b/amrctl/amrcommand/client.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	changeAttempts = 3
+	changeAttempts = 3 // Of a change whose answer was lost.
 	attemptPause   = 500 * time.Millisecond
 )
 
--- a/core/amrcache/order.go
+++ b/core/amrcache/order.go
@@ -7,7 +7,7 @@
 	prev, next uint32
 }
 
-const sentinel = 0
+const sentinel = 0 // Slot of the list's sentinel.
 
 func (x *Index) clear() {
 	x.slots = append(x.slots[:0], slot{})
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -55,8 +55,8 @@
 	// number. A server that leaves is to be known well within the bound of
 	// draining, and a lease before it could lapse.
 	serversPace = 200 * time.Millisecond
-	sharedPace  = 0
-	fewRouters  = 8
+	sharedPace  = 0                     // Among few, a lease is to be known at once.
+	fewRouters  = 8                     // Up to which the calls of all fit the store.
 	pacePer     = 33 * time.Millisecond // For each router, where there are more than a few.
 	longestPace = time.Second
 )
--- a/core/amrexplain/decision.go
+++ b/core/amrexplain/decision.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	maxCandidates = 16
-	maxAttempts   = 16
+	maxCandidates = 16  // In one decision.
+	maxAttempts   = 16  // In one decision.
 	maxDetail     = 200 // Bytes.
 )
 
--- a/core/amrexplain/recorder.go
+++ b/core/amrexplain/recorder.go
@@ -16,9 +16,9 @@
 	decisionPrefix = "explain/" // Then minute, router, incarnation and number.
 	refusalPrefix  = "refused/" // The refusals among them, for searches.
 
-	ringSize     = 4096
-	pendingLimit = 20000
-	batchSize    = 2048
+	ringSize     = 4096  // Decisions that are found without the table.
+	pendingLimit = 20000 // Decisions that wait to be written; more are dropped.
+	batchSize    = 2048  // Decisions in one write.
 
 	flushInterval = 10 * time.Second
 	flushTimeout  = 10 * time.Second
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -61,7 +61,7 @@
 	// maxForeignBytes bounds the body of a foreign answer.
 	maxForeignBytes = 1 << 20
 
-	readBuffer = 2048
+	readBuffer = 2048 // In bytes; heads of answers fit.
 )
 
 // Request is a request to a backend server.
--- a/core/amrrecord/sharded.go
+++ b/core/amrrecord/sharded.go
@@ -7,6 +7,8 @@
 	"github.com/zeebo/xxh3"
 )
 
+// shardCount is the number of parts of a map. A copy after a change shares all
+// parts but the one that changed.
 const shardCount = 256
 
 // shardedMap is an immutable map whose copies share what they have in common.
--- a/core/amrrecord/team.go
+++ b/core/amrrecord/team.go
@@ -29,7 +29,7 @@
 const (
 	maxTeamWeight   = 1000
 	maxTeamPriority = 1000
-	sha256HexLength = 64
+	sha256HexLength = 64 // Digits.
 )
 
 func (t Team) problems() []problem {
--- a/core/amrsuspect/store.go
+++ b/core/amrsuspect/store.go
@@ -17,7 +17,7 @@
 	// MaxCrashes is the number of crashes that quarantines a request.
 	MaxCrashes = 2
 
-	maxWrites = 5
+	maxWrites = 5 // Of one row that others change as well.
 )
 
 var (
--- a/router/amrrouter/gates.go
+++ b/router/amrrouter/gates.go
@@ -16,8 +16,8 @@
 
 const (
 	dialTimeout       = 500 * time.Millisecond
-	idleConnections   = 2048
-	idleForOneServer  = 64
+	idleConnections   = 2048 // To all backend servers.
+	idleForOneServer  = 64   // Connections.
 	idleExpiration    = 2 * time.Minute
 	peerIdleTimeout   = 5 * time.Minute // Outlasts idleExpiration at the peers.
 	maxReplyBytes     = 16 << 20
--- a/router/amrrouter/membership.go
+++ b/router/amrrouter/membership.go
@@ -19,7 +19,7 @@
 const (
 	membershipTick = 100 * time.Millisecond
 	probeTimeout   = 500 * time.Millisecond
-	probesAtOnce   = 64
+	probesAtOnce   = 64 // Backend servers that are probed.
 
 	// A router reads the host list less often the longer it is, so that all
 	// routers together read it about once a second at any size.
--- a/router/amrrouter/rollout.go
+++ b/router/amrrouter/rollout.go
@@ -20,7 +20,7 @@
 const (
 	rolloutTick   = 100 * time.Millisecond
 	leaseTimeout  = time.Second // For one read or write of the lease.
-	reportsAtOnce = 32
+	reportsAtOnce = 32          // Sidecars that are asked for their weights.
 )
 
 // rollouts brings the backend servers of each deployment to the versions of
--- a/router/amrrouter/router.go
+++ b/router/amrrouter/router.go
@@ -146,35 +146,50 @@
 		option(r)
 	}
 	r.log = r.log.With("router", settings.Name)
-	config, err := settings.GateTLS.Client()
-	if err != nil {
-		return nil, err
-	}
 	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.metrics = newMetrics(r.registry)
-	r.gates = newGates(config)
-	r.sidecars = newSidecars()
-	r.retries = newRetries()
 	if r.platform == nil {
 		r.platform = amrplatform.NewClient(settings.PlatformURL)
 	}
-	r.decisions = newDecisions(amrexplain.NewRecorder(settings.Name, r.incarnation, r.platform, r.clock), r.clock)
-	r.ids = amrexplain.NewIDs(settings.Name, r.incarnation)
-	r.store = amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
-	peersConfig, err := settings.PeersTLS.Client()
-	if err != nil {
+	if err := r.connect(); err != nil {
 		return nil, err
 	}
-	self := amrconfig.Peer{Name: settings.Name, Address: settings.PeersAddress, AvailabilityZone: settings.AvailabilityZone}
+	r.assemble()
+	return r, nil
+}
+
+// connect prepares the connections to sidecars and to other routers.
+func (r *Router) connect() error {
+	gates, err := r.settings.GateTLS.Client()
+	if err != nil {
+		return err
+	}
+	peersTLS, err := r.settings.PeersTLS.Client()
+	if err != nil {
+		return err
+	}
+	r.gates = newGates(gates)
+	r.peers = &peers{connections: newGates(peersTLS), sidecars: r.gates}
+	return nil
+}
+
+// assemble makes the parts of the router, which do not run yet.
+func (r *Router) assemble() {
+	name := r.settings.Name
+	r.sidecars = newSidecars()
+	r.retries = newRetries()
+	r.decisions = newDecisions(amrexplain.NewRecorder(name, r.incarnation, r.platform, r.clock), r.clock)
+	r.ids = amrexplain.NewIDs(name, r.incarnation)
+	r.store = amrconfig.NewStore(r.platform, r.platform, amrconfig.WithClock(r.clock))
+	self := amrconfig.Peer{Name: name, Address: r.settings.PeersAddress, AvailabilityZone: r.settings.AvailabilityZone}
 	r.hosts = newHosts(r.platform, r.clock, self)
-	r.peers = &peers{connections: newGates(peersConfig), sidecars: r.gates}
 	r.follower = amrconfig.NewFollower(r.store, amrconfig.WithSelf(self), amrconfig.WithPeers(r.peers, r.hosts.all))
-	r.limits = newLimits(settings.Name, r.clock, r.hosts, r.peers)
+	r.limits = newLimits(name, r.clock, r.hosts, r.peers)
 	r.registerState()
-	r.suspects = newSuspects(r.clock, settings.Name, amrsuspect.NewStore(r.platform))
+	r.suspects = newSuspects(r.clock, name, amrsuspect.NewStore(r.platform))
 	r.ledger = amrledger.New(r.platform, r.platform, amrledger.WithClock(r.clock))
 	r.membership = newMembership(r.clock, r.log, r.gates, r.hosts)
-	r.placement = newPlacement(r.clock, settings.Name, settings.AvailabilityZone, r.membership.view, r.placing)
+	r.placement = newPlacement(r.clock, name, r.settings.AvailabilityZone, r.membership.view, r.placing)
 	r.rollouts = &rollouts{
 		clock:      r.clock,
 		log:        r.log,
@@ -182,11 +197,10 @@
 		gates:      r.gates,
 		membership: r.membership,
 		current:    r.follower.Current,
-		holder:     settings.Name + "/" + r.incarnation,
+		holder:     name + "/" + r.incarnation,
 		ttl:        r.orderTTL,
 		timeout:    r.orderWait,
 	}
-	return r, nil
 }
 
 // Run runs a router until ctx is done and its requests in progress have
--- a/router/amrrouter/session.go
+++ b/router/amrrouter/session.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	defaultMaxAttempts = 3
+	defaultMaxAttempts = 3 // For a request whose policy does not tell.
 
 	// minTimeLeft is the least time before the deadline to start an attempt.
 	minTimeLeft = 20 * time.Millisecond
--- a/router/amrrouter/suspects.go
+++ b/router/amrrouter/suspects.go
@@ -26,9 +26,9 @@
 	suspectTimeout = time.Second
 	busyWait       = 3 * time.Second
 	busyPoll       = 100 * time.Millisecond
-	endTries       = 6
+	endTries       = 6 // Writes of how a trial ended.
 	endPause       = time.Second
-	peersAtOnce    = 16
+	peersAtOnce    = 16 // Routers that are told of a crash.
 )
 
 // suspects decides whether a request that may have crashed a backend server
--- a/sidecar/amrsidecar/service.go
+++ b/sidecar/amrsidecar/service.go
@@ -14,8 +14,8 @@
 
 const (
 	serviceChunkBytes    = 32 << 10
-	maxServiceAnswer     = 8 << 20
-	serviceBatchLimit    = 64
+	maxServiceAnswer     = 8 << 20 // In bytes.
+	serviceBatchLimit    = 64      // Requests at once at a plain service.
 	headerRequestID      = "X-Request-Id"
 	headerIdempotencyKey = "Idempotency-Key"
 )
