--- a/standin/amrsoak/check.go
+++ b/standin/amrsoak/check.go
@@ -20,7 +20,7 @@
 	answer  time.Duration // Beyond the deadline, in which there is an answer.
 	thaw    time.Duration // After trouble, in which late orders are excused.
 	lease   time.Duration // Between orders of two holders to one server.
-	recover time.Duration // After the last fault, in which all is well again.
+	recover time.Duration // After the last fault, in which the site serves again.
 }
 
 // standardBounds are the bounds of the users' pages.
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -32,7 +32,7 @@
 
 const (
 	recoverPause = 200 * time.Millisecond
-	probes       = 12  // Requests that show whether all is well.
+	probes       = 12  // Requests that show whether the site serves.
 	leastServed  = 0.9 // Of them.
 )
 
@@ -101,24 +101,24 @@
 	return errors.Join(err, group.Wait(), s.heal())
 }
 
-// recover checks that all is well again in time.
+// recover checks that the site serves again in time.
 func (s *site) recover(ctx context.Context) {
 	begin := s.clock.Now()
 	for n := 0; ; n++ {
-		ill := s.ill(ctx, n)
-		if ill == "" {
+		fault := s.unhealthy(ctx, n)
+		if fault == "" {
 			return
 		}
 		if s.clock.Since(begin) > s.check.bounds.recover {
-			s.check.Report("all is well again in time", "%v after the last fault %s", s.clock.Since(begin).Round(time.Millisecond), ill)
+			s.check.Report("recovery in time", "%v after the last fault %s", s.clock.Since(begin).Round(time.Millisecond), fault)
 			return
 		}
 		s.clock.Sleep(recoverPause)
 	}
 }
 
-// ill returns what is not well, or nothing.
-func (s *site) ill(ctx context.Context, n int) string {
+// unhealthy returns what does not work yet, or nothing.
+func (s *site) unhealthy(ctx context.Context, n int) string {
 	for _, r := range s.routers {
 		if !r.ready(ctx) {
 			return r.name + " is not ready"
