Do not stop requests that run well elsewhere: answer strikes of them, tell of refusals again

Trace: its log has reason=quarantined alone, theirs have completed runs; they restarted after the strikes, so that they had none to clear and told nothing. By the same path three servers that crash at once stop a popular request at every router for a minute. Mend: a strike does not count within 3 s of a good run; a router that hears such a strike answers that the request is cleared; a router that refuses tells of its last strike once a second; Retry-After is the time left.

--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -188,8 +188,8 @@
 	x.pool = x.route.PoolOf(x.request.ID)
 	x.repeatable = x.route.Repeatable()
 	x.fingerprint = amrsuspect.FingerprintOf(x.request.Key, x.request.Method, x.request.Target, string(x.request.Body))
-	if x.f.strikes.Quarantined(x.request.Arrived, x.fingerprint) {
-		return &refusal{code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: amrsuspect.StrikeTime}
+	if r := x.quarantine(x.request.Arrived); r != nil {
+		return r
 	}
 	x.until = x.request.Arrived.Add(x.route.Timeout)
 	if p := x.request.Patience; p > 0 && p < x.route.Timeout {
--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -7,6 +7,7 @@
 
 	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrpool"
+	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrsuspect"
 )
 
@@ -19,15 +20,29 @@
 	switch result {
 	case amrpool.Failed:
 		hash := xxh3.HashString(server)
-		x.f.strikes.Add(now, x.fingerprint, hash)
-		x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Server: hash})
+		if x.f.strikes.Add(now, x.fingerprint, hash) {
+			x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Server: hash})
+		}
 	case amrpool.Completed:
-		if x.f.strikes.Clear(x.fingerprint) {
+		if x.f.strikes.RanWell(now, x.fingerprint) {
 			x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Cleared: true})
 		}
 	}
 }
 
+// quarantine returns the refusal of a request that broke too many servers, or
+// nil.
+func (x *exchange) quarantine(now time.Time) *refusal {
+	left := x.f.strikes.Quarantined(now, x.fingerprint)
+	if left == 0 {
+		return nil
+	}
+	if server, ok := x.f.strikes.Retell(now, x.fingerprint); ok {
+		x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Server: server})
+	}
+	return &refusal{code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: (left + time.Second - 1).Truncate(time.Second)}
+}
+
 func (f *Forwarder) tell(s amrgossip.Strike) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -46,13 +61,17 @@
 	return told
 }
 
-// Heard takes in the strikes that another router told of.
+// Heard takes in the strikes that another router told of, and answers those of
+// requests that ran well here just now.
 func (f *Forwarder) Heard(now time.Time, strikes []amrgossip.Strike) {
 	for _, s := range strikes {
+		fingerprint := amrsuspect.Fingerprint(s.Fingerprint)
 		if s.Cleared {
-			f.strikes.Clear(amrsuspect.Fingerprint(s.Fingerprint))
+			f.strikes.Clear(fingerprint)
 			continue
 		}
-		f.strikes.Add(now, amrsuspect.Fingerprint(s.Fingerprint), s.Server)
+		if !f.strikes.Add(now, fingerprint, s.Server) {
+			f.tell(amrgossip.Strike{Fingerprint: s.Fingerprint, Cleared: true})
+		}
 	}
 }
