--- a/core/amrledger/maintain.go
+++ b/core/amrledger/maintain.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"amaranthreach.example/core/amrplatform"
+	"amaranthreach.example/core/amrtick"
 )
 
 const (
@@ -59,22 +60,16 @@
 // Maintain records answers whose writes failed, follows the epoch and sweeps
 // old claims until ctx ends.
 func (l *Ledger) Maintain(ctx context.Context) error {
-	ticker := l.clock.NewTicker(MaintainInterval)
-	defer ticker.Stop()
 	lastSweep := l.clock.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
+	amrtick.Every(ctx, l.clock, MaintainInterval, func() {
 		l.RecordBacklog(ctx)
 		l.FollowEpoch(ctx)
 		if now := l.clock.Now(); now.Sub(lastSweep) >= SweepInterval {
 			lastSweep = now
 			l.Sweep(ctx)
 		}
-	}
+	})
+	return nil
 }
 
 // FollowEpoch reads the epoch and ends it when this router has seen it for
--- a/core/amrserve/callers.go
+++ b/core/amrserve/callers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"amaranthreach.example/core/amrtick"
 )
 
 // sweepInterval is the time between two looks at the connections of callers.
@@ -148,18 +150,12 @@
 
 // Run closes connections beyond their limits until ctx is done.
 func (c *CallerConns) Run(ctx context.Context) error {
-	ticker := c.clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			for _, conn := range c.overdue() {
-				_ = conn.Close() // The server notices and forgets it.
-			}
+	amrtick.Every(ctx, c.clock, sweepInterval, func() {
+		for _, conn := range c.overdue() {
+			_ = conn.Close() // The server notices and forgets it.
 		}
-	}
+	})
+	return nil
 }
 
 // overdue returns the connections that have waited longer than their limits. A
--- a/router/amrrouter/keep.go
+++ b/router/amrrouter/keep.go
@@ -6,6 +6,7 @@
 
 	"amaranthreach.example/core/amrconfig"
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrtick"
 )
 
 const keepInterval = 2 * time.Second // Between updates of the snapshots.
@@ -15,29 +16,28 @@
 // next update.
 func (r *Router) keepSnapshots(ctx context.Context) error {
 	kept := map[string]uint64{} // Revision that each sidecar is known to hold.
-	ticker := r.clock.NewTicker(keepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
+	amrtick.Every(ctx, r.clock, keepInterval, func() {
 		if !r.follower.IsReader() {
 			clear(kept) // A sidecar may restart meanwhile.
+			return
+		}
+		r.updateSnapshots(ctx, kept)
+	})
+	return nil
+}
+
+// updateSnapshots brings each snapshot below the router's revision up to it.
+func (r *Router) updateSnapshots(ctx context.Context, kept map[string]uint64) {
+	for _, holder := range amrconfig.SnapshotHolders(r.hosts.all(), r.settings.AvailabilityZone) {
+		if kept[holder.Name] >= r.Revision() {
 			continue
 		}
-		for _, holder := range amrconfig.SnapshotHolders(r.hosts.all(), r.settings.AvailabilityZone) {
-			if kept[holder.Name] >= r.Revision() {
-				continue
-			}
-			held, err := r.keep(ctx, holder)
-			if err != nil {
-				r.log.Debug("snapshot-not-kept", "sidecar", holder.Name, "error", err)
-				continue
-			}
-			kept[holder.Name] = held
+		held, err := r.keep(ctx, holder)
+		if err != nil {
+			r.log.Debug("snapshot-not-kept", "sidecar", holder.Name, "error", err)
+			continue
 		}
+		kept[holder.Name] = held
 	}
 }
 
--- a/router/amrrouter/limits.go
+++ b/router/amrrouter/limits.go
@@ -11,6 +11,7 @@
 	"amaranthreach.example/core/amrlimit"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrtick"
 )
 
 const (
@@ -61,16 +62,8 @@
 
 // run reports to the accountants until ctx is done.
 func (l *limits) run(ctx context.Context) error {
-	ticker := l.clock.NewTicker(limitsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			l.report(ctx)
-		}
-	}
+	amrtick.Every(ctx, l.clock, limitsInterval, func() { l.report(ctx) })
+	return nil
 }
 
 // report tells each accountant what is due. A call that fails is made good by
--- a/router/amrrouter/suspects.go
+++ b/router/amrrouter/suspects.go
@@ -13,6 +13,7 @@
 	"amaranthreach.example/core/amrpeer"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrsuspect"
+	"amaranthreach.example/core/amrtick"
 )
 
 const (
@@ -65,16 +66,9 @@
 
 // run follows the table until ctx is done.
 func (s *suspects) run(ctx context.Context) error {
-	ticker := s.clock.NewTicker(suspectPoll)
-	defer ticker.Stop()
-	for {
-		s.poll(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
-	}
+	s.poll(ctx)
+	amrtick.Every(ctx, s.clock, suspectPoll, func() { s.poll(ctx) })
+	return nil
 }
 
 func (s *suspects) poll(ctx context.Context) {
--- a/sidecar/amrsidecar/engine.go
+++ b/sidecar/amrsidecar/engine.go
@@ -19,6 +19,7 @@
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrsse"
+	"amaranthreach.example/core/amrtick"
 )
 
 const (
@@ -218,17 +219,10 @@
 }
 
 func (e *engine) followStatus(ctx context.Context) error {
-	ticker := e.clock.NewTicker(statusInterval)
-	defer ticker.Stop()
-	for {
-		e.poll(ctx)
-		select {
-		case <-ctx.Done():
-			e.client.CloseIdleConnections()
-			return nil
-		case <-ticker.Chan():
-		}
-	}
+	e.poll(ctx)
+	amrtick.Every(ctx, e.clock, statusInterval, func() { e.poll(ctx) })
+	e.client.CloseIdleConnections()
+	return nil
 }
 
 func (e *engine) poll(ctx context.Context) {
--- a/standin/amrreplay/play.go
+++ b/standin/amrreplay/play.go
@@ -13,6 +13,7 @@
 
 	"amaranthreach.example/core/amrplace"
 	"amaranthreach.example/core/amrrecord"
+	"amaranthreach.example/core/amrtick"
 	"amaranthreach.example/router/amrrouter"
 	"amaranthreach.example/sidecar/amrsidecar"
 	"amaranthreach.example/standin/amrengine"
@@ -179,17 +180,11 @@
 
 // report writes progress now and then.
 func (p *play) report(ctx context.Context) error {
-	ticker := p.settings.clock.NewTicker(progressInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			elapsed := p.settings.unscaled(p.settings.clock.Since(p.begin))
-			fmt.Fprintf(p.settings.progress, "policy=%s trace-time=%s of=%s\n", p.policy, elapsed.Round(time.Second), p.requests[len(p.requests)-1].At.Round(time.Second))
-		}
-	}
+	amrtick.Every(ctx, p.settings.clock, progressInterval, func() {
+		elapsed := p.settings.unscaled(p.settings.clock.Since(p.begin))
+		fmt.Fprintf(p.settings.progress, "policy=%s trace-time=%s of=%s\n", p.policy, elapsed.Round(time.Second), p.requests[len(p.requests)-1].At.Round(time.Second))
+	})
+	return nil
 }
 
 func (s settings) scaled(d time.Duration) time.Duration {
