--- a/standin/amrsite/store.go
+++ b/standin/amrsite/store.go
@@ -4,6 +4,7 @@
 package amrsite
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -27,6 +28,7 @@
 	oldest  uint64 // Changes up to this version are forgotten.
 	changed chan struct{}
 	faults  StoreFaults
+	readAs  map[string]string
 	calls   map[string]int
 }
 
@@ -54,7 +56,7 @@
 
 // NewStore returns an empty store.
 func NewStore(clock clockwork.Clock) *Store {
-	return &Store{clock: clock, rows: make(map[rowName]row), changed: make(chan struct{}), calls: make(map[string]int)}
+	return &Store{clock: clock, rows: make(map[rowName]row), changed: make(chan struct{}), readAs: make(map[string]string), calls: make(map[string]int)}
 }
 
 // Put writes a row as an operator or a backend server does.
@@ -90,6 +92,14 @@
 	s.wake()
 }
 
+// ReadAs has values that name the address be read with the other one in its
+// place, as where a proxy stands before it.
+func (s *Store) ReadAs(address, other string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readAs[address] = other
+}
+
 // ForgetHistory drops all changes so far.
 func (s *Store) ForgetHistory() {
 	s.mu.Lock()
@@ -169,6 +179,11 @@
 }
 
 func (s *Store) answer(w http.ResponseWriter, status int, rows []rowJSON, hasMore bool) {
+	for i := range rows {
+		for address, other := range s.readAs {
+			rows[i].Value = bytes.ReplaceAll(rows[i].Value, []byte(address), []byte(other))
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(rowsJSON{Rows: rows, HasMore: hasMore, Ver: s.version, NowMs: s.clock.Now().Add(s.faults.ClockAhead).UnixMilli()}) // The caller notices.
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -40,6 +40,7 @@
 	callersLink   kind = "callers-link"
 	storeLink     kind = "store-link"
 	serverLink    kind = "server-link"
+	peersLink     kind = "peers-link"
 	storeDown     kind = "store-down"
 	storeLoses    kind = "store-loses-answers"
 	storeForgets  kind = "store-forgets"
@@ -58,7 +59,7 @@
 var kinds = []kind{
 	killRouter, killRouters, stopRouter, pauseRouter, hangUp, callersLink, storeLink, serverLink, storeDown, storeLoses,
 	storeForgets, storeClock, storeGarbage, serverErrs, serverLeaves, serverCrashes, changeKeys, newWeights,
-	poisonRequest,
+	poisonRequest, peersLink,
 }
 
 // fault is one fault of a seed.
@@ -170,6 +171,8 @@
 		s.disturbLink(r.name, r.callers, f)
 	case storeLink:
 		s.disturbLink(r.name, r.store, f)
+	case peersLink:
+		s.disturb(r.name, f.For, func() { degrade(r.peers, f); r.notices.Lose(true) }, func() { r.peers.Set(Condition{}); r.notices.Lose(false) })
 	case serverLink:
 		degrade(b.link, f)
 		s.clock.Sleep(f.For)
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -57,8 +57,9 @@
 	*Process
 	callers *Link // Of callers to the router.
 	store   *Link // Of the router to the store.
+	peers   *Link // Of other routers to the router.
+	notices *NoticeLink
 	health  string
-	peers   string
 	client  *http.Client
 	serving atomic.Bool // By the last look of the balancer.
 }
@@ -184,7 +185,7 @@
 			return err
 		}
 	}
-	r := &router{Process: NewProcess(s.clock, name, program, dir, s.ended), health: addresses[1], peers: addresses[2]}
+	r := &router{Process: NewProcess(s.clock, name, program, dir, s.ended), health: addresses[1]}
 	var err error
 	if r.callers, err = s.link(addresses[0]); err != nil {
 		return err
@@ -192,10 +193,18 @@
 	if r.store, err = s.link(store); err != nil {
 		return err
 	}
+	if r.peers, err = s.link(addresses[2]); err != nil {
+		return err
+	}
+	if r.notices, err = NewNoticeLink(addresses[3]); err != nil {
+		return err
+	}
+	s.store.ReadAs(addresses[2], r.peers.Address())
+	s.store.ReadAs(addresses[3], r.notices.Address())
 	r.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: outstanding}}
 	var seeds []string
 	for _, other := range s.routers {
-		seeds = append(seeds, other.peers)
+		seeds = append(seeds, other.peers.Address())
 	}
 	s.routers = append(s.routers, r)
 	settings := fmt.Sprintf(settingsFormat, name, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], strings.Join(seeds, ", "), r.store.Address())
@@ -252,6 +261,7 @@
 		s.list(b, false)
 	}
 	for _, r := range s.routers {
+		r.notices.Lose(false)
 		r.Signal(syscall.SIGCONT)
 		if err := r.Start(); err != nil {
 			return err
@@ -279,6 +289,7 @@
 	for _, r := range s.routers {
 		errs = append(errs, r.End(syscall.SIGTERM), r.Wait())
 		r.client.CloseIdleConnections()
+		errs = append(errs, r.notices.Close())
 	}
 	s.stop()
 	for _, l := range s.links {
