--- a/standin/amrsoak/command.go
+++ b/standin/amrsoak/command.go
@@ -24,7 +24,7 @@
 	seeds    int
 	jobs     int
 	length   time.Duration
-	size     size
+	size     Size
 	dir      string
 	stretch  float64
 	race     bool
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -78,7 +78,7 @@
 }
 
 // drawFaults draws the faults of a soak of the length.
-func drawFaults(random *rand.Rand, length time.Duration, n size, kinds []kind) []fault {
+func drawFaults(random *rand.Rand, length time.Duration, n Size, kinds []kind) []fault {
 	disturbed := 1 + random.IntN(n.Routers)
 	if random.IntN(wholeFleet) == 0 {
 		disturbed = n.Routers
@@ -93,7 +93,7 @@
 	}
 }
 
-func drawFault(random *rand.Rand, at time.Duration, disturbed int, n size, kinds []kind) fault {
+func drawFault(random *rand.Rand, at time.Duration, disturbed int, n Size, kinds []kind) fault {
 	f := fault{
 		At:       at,
 		Kind:     kinds[random.IntN(len(kinds))],
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -88,13 +88,13 @@
 	records int        // The version written last.
 }
 
-// size is how much of each a site has.
-type size struct {
+// Size is how much of each a site has.
+type Size struct {
 	Routers, Engines, Services int
 }
 
 // startSite starts the routers with the program and everything around them.
-func startSite(ctx context.Context, clock clockwork.Clock, check *Check, program, dir string, n size) (*site, error) {
+func startSite(ctx context.Context, clock clockwork.Clock, check *Check, program, dir string, n Size) (*site, error) {
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	s := &site{clock: clock, check: check, store: amrsite.NewStore(clock), stop: stop, weights: 1}
 	err := s.build(ctx, program, dir, n)
@@ -104,7 +104,7 @@
 	return s, nil
 }
 
-func (s *site) build(ctx context.Context, program, dir string, n size) error {
+func (s *site) build(ctx context.Context, program, dir string, n Size) error {
 	store, err := s.serve(ctx, s.store.Handler())
 	if err != nil {
 		return err
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -45,7 +45,7 @@
 	Dir     string // For settings and logs.
 	Seed    uint64
 	Length  time.Duration // Of the faults.
-	Size    size
+	Size    Size
 	Kinds   int     // Of faults, of the first so many; 0 for all.
 	Stretch float64 // Of the bounds of time, on a busy machine; 0 for none.
 }
--- a/standin/amrsoak/soak_test.go
+++ b/standin/amrsoak/soak_test.go
@@ -20,7 +20,7 @@
 	dir := t.TempDir()
 	program, err := Build(t.Context(), dir, false)
 	is.NoErr(err)
-	soak := Soak{Program: program, Dir: dir, Seed: seed, Length: length, Size: size{Routers: 2, Engines: 3, Services: 2}, Stretch: stretch}
+	soak := Soak{Program: program, Dir: dir, Seed: seed, Length: length, Size: Size{Routers: 2, Engines: 3, Services: 2}, Stretch: stretch}
 	result, err := soak.Run(t.Context())
 	is.NoErr(err)
 	is.Equal(result.Findings, nil)
