--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -1,6 +1,7 @@
 package amrforward
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -20,11 +21,14 @@
 	switch result {
 	case amrpool.Failed:
 		hash := xxh3.HashString(server)
-		if x.f.strikes.Add(now, x.fingerprint, hash) {
+		counted := x.f.strikes.Add(now, x.fingerprint, hash)
+		x.f.log.Info("strike", "id", x.request.ID, "fingerprint", x.fingerprint, "server", server, "counted", counted)
+		if counted {
 			x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Server: hash})
 		}
 	case amrpool.Completed:
 		if x.f.strikes.RanWell(now, x.fingerprint) {
+			x.f.log.Info("strikes cleared", "id", x.request.ID, "fingerprint", x.fingerprint)
 			x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Cleared: true})
 		}
 	}
@@ -40,7 +44,10 @@
 	if server, ok := x.f.strikes.Retell(now, x.fingerprint); ok {
 		x.f.tell(amrgossip.Strike{Fingerprint: x.fingerprint, Server: server})
 	}
-	return &refusal{code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: (left + time.Second - 1).Truncate(time.Second)}
+	return &refusal{
+		code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: (left + time.Second - 1).Truncate(time.Second),
+		detail: fmt.Sprintf("fingerprint %v, last strike %v ago", x.fingerprint, (amrsuspect.StrikeTime - left).Round(time.Millisecond)),
+	}
 }
 
 func (f *Forwarder) tell(s amrgossip.Strike) {
