--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -73,8 +73,8 @@
 	Condition Condition // Of the link.
 	Reset     bool      // The link's connections are reset as it begins.
 	Wrong     amrsite.Fault
-	Requests  int // That the server does wrong.
-	Ahead     time.Duration
+	Requests  int           // That the server does wrong.
+	Ahead     time.Duration // Of the store's clock.
 }
 
 // drawFaults draws the faults of a soak of the length.
@@ -108,21 +108,27 @@
 	if f.Kind == killRouters && disturbed < n.Routers {
 		f.Kind = killRouter
 	}
-	switch random.IntN(6) {
+	f.Condition, f.Reset = drawCondition(random)
+	return f
+}
+
+// drawCondition draws what is done to a link. It reports whether connections are
+// reset as well.
+func drawCondition(random *rand.Rand) (c Condition, reset bool) {
+	const ways = 6
+	switch random.IntN(ways) {
 	case 0:
-		f.Condition.Delay = time.Duration(random.Int64N(int64(mostDelay)))
+		return Condition{Delay: time.Duration(random.Int64N(int64(mostDelay)))}, false
 	case 1:
-		f.Condition.Refuse, f.Reset = true, true
+		return Condition{Refuse: true}, true
 	case 2:
-		f.Condition.HoldTo = true
+		return Condition{HoldTo: true}, false
 	case 3:
-		f.Condition.HoldFrom = true
+		return Condition{HoldFrom: true}, false
 	case 4:
-		f.Condition.HoldTo, f.Condition.HoldFrom = true, true
-	default:
-		f.Reset = true
+		return Condition{HoldTo: true, HoldFrom: true}, false
 	}
-	return f
+	return Condition{}, true
 }
 
 // String describes the fault.
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -59,7 +59,7 @@
 	store   *Link // Of the router to the store.
 	peers   *Link // Of other routers to the router.
 	notices *NoticeLink
-	health  string
+	health  string // Address at which it tells whether it is ready.
 	client  *http.Client
 	serving atomic.Bool // By the last look of the balancer.
 }
