Log and count answers whose end is marked only by the connection

The request's line now has end=connection for such a send, and amr_answers_ended_by_connection_total counts them by pool and result. No decision changes.

--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -81,6 +81,8 @@
 	result amrpool.Result
 	took   time.Duration
 	detail string
+
+	endsWithConnection bool // The end of the answer was marked only by the end of the connection.
 }
 
 // run sends the request to backend servers until one of them answers it or no
@@ -204,7 +206,9 @@
 	if answer.WeightsVersion > choice.WeightsVersion && choice.WeightsVersion > 0 {
 		choice.ObserveVersion(answer.WeightsVersion)
 	}
-	return x.relayAnswer(ctx, choice, start, answer)
+	done, r = x.relayAnswer(ctx, choice, start, answer)
+	x.sends[len(x.sends)-1].endsWithConnection = answer.EndsWithConnection
+	return done, r
 }
 
 // errWithheld reports that a request is not sent to the chosen server.
--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -17,6 +17,8 @@
 	wait      *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
+
+	endsWithConnection *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics and registers them with the registerer unless that
@@ -29,9 +31,11 @@
 		wait:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_wait_seconds", Help: "Time from a request to its first send.", Buckets: buckets}, []string{"pool"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_first_byte_seconds", Help: "Time from a request to the first byte of its answer.", Buckets: buckets}, []string{"route"}),
 		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_request_seconds", Help: "Time from a request to the end of its answer.", Buckets: buckets}, []string{"route"}),
+
+		endsWithConnection: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_answers_ended_by_connection_total", Help: "Answers with neither a length nor chunks, by pool and result of the send."}, []string{"pool", "result"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.sends, m.wait, m.firstByte, m.duration)
+		registerer.MustRegister(m.requests, m.sends, m.wait, m.firstByte, m.duration, m.endsWithConnection)
 	}
 	return m
 }
@@ -53,6 +57,9 @@
 	}
 	for _, s := range x.sends {
 		m.sends.WithLabelValues(x.pool, s.result.String()).Inc()
+		if s.endsWithConnection {
+			m.endsWithConnection.WithLabelValues(x.pool, s.result.String()).Inc()
+		}
 	}
 	if !x.firstByte.IsZero() {
 		m.firstByte.WithLabelValues(route).Observe(x.firstByte.Sub(x.request.Arrived).Seconds())
@@ -98,11 +105,14 @@
 		if i > 0 {
 			b.WriteString(sendSeparator)
 		}
-		c := s.choice
+		c, end := s.choice, ""
+		if s.endsWithConnection {
+			end = " end=connection"
+		}
 		b.WriteString(c.Name + " weights=" + strconv.Itoa(c.WeightsVersion) +
 			" cached=" + strconv.Itoa(c.CachedTokens) + " missing=" + strconv.Itoa(c.PrefillTokens) +
 			" cost=" + c.Cost.Round(time.Millisecond).String() +
-			" " + s.result.String() + " after " + s.took.Round(time.Millisecond).String())
+			end + " " + s.result.String() + " after " + s.took.Round(time.Millisecond).String())
 		if s.detail != "" {
 			b.WriteString(" (" + s.detail + ")")
 		}
--- a/core/amrforward/request.go
+++ b/core/amrforward/request.go
@@ -63,6 +63,10 @@
 	Length int64       // Length of the body in bytes; -1 if unknown.
 	Body   Body
 
+	// EndsWithConnection is set if the server marks the end of the body only by
+	// the end of the connection.
+	EndsWithConnection bool
+
 	Disposition    Disposition
 	Load           *amrpool.Load // Load that the server reports; nil if it reports none.
 	WeightsVersion int           // Version of the model's weights; 0 if the server does not report it.
--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -224,8 +224,8 @@
 // be read, has no length or has a body longer than maxDiscardBytes, so that the
 // connection cannot carry another one.
 func discard(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return io.ErrUnexpectedEOF // Without a length, the body ends with the connection.
+	if endsWithConnection(resp) {
+		return io.ErrUnexpectedEOF
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes+1))
 	if err == nil && n > maxDiscardBytes {
@@ -234,6 +234,11 @@
 	return err
 }
 
+// endsWithConnection reports whether the body has neither a length nor chunks.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // response returns the Response for a response that was read up to its body. After
 // a response that does not identify its request, the connection is not reused,
 // because a late copy of it could not be told from the next response.
@@ -243,7 +248,10 @@
 		Status: resp.StatusCode,
 		Header: resp.Header,
 		Length: resp.ContentLength,
-		Body:   &body{conn: c, reader: resp.Body, reusable: identified && !resp.Close && reuseLimit > 0, reuseLimit: reuseLimit},
+
+		EndsWithConnection: endsWithConnection(resp),
+
+		Body: &body{conn: c, reader: resp.Body, reusable: identified && !resp.Close && reuseLimit > 0, reuseLimit: reuseLimit},
 	}
 }
 
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -131,6 +131,10 @@
 	Header http.Header
 	Length int64 // Of the body; -1 if unknown.
 	Body   io.ReadCloser
+
+	// EndsWithConnection is set if the body has neither a length nor chunks, so
+	// that its end is the end of the connection.
+	EndsWithConnection bool
 }
 
 // Transport sends requests and keeps connections for reuse. It is safe for
