Add failing tests of streams that end with their connection inside an event

The stand-in servers always sent a length or chunks before; they can now end an answer with its connection, whole or inside an event.

--- a/core/amrforward/forward_test.go
+++ b/core/amrforward/forward_test.go
@@ -43,9 +43,11 @@
 //
 // A line of answers is "STATUS BODY", "full", "other-server", "not-sent",
 // "broken" (the connection breaks before the answer), "hang" (the server does
-// not answer), "cut STATUS BODY" (the body breaks off), or
+// not answer), "cut STATUS BODY" (the body breaks off),
 // "events ID... [cut|part]" (a stream, which breaks off after or within an
-// event).
+// event), or "framed TEXT" or "unframed TEXT" (a Go string literal, sent with a
+// length, or with neither a length nor chunks and ended by the end of the
+// connection). With type=TYPE before TEXT, the answer has that content type.
 func TestForward(t *testing.T) {
 	datadriven.Walk(t, "testdata/forward", func(t *testing.T, path string) {
 		s := &script{fleet: amrpool.New(), backend: &backend{}}
@@ -168,6 +170,7 @@
 		s.forward.Serve(ctx, w, r)
 	}()
 	body := strings.ReplaceAll(w.Body.String(), "\n\n", "|")
+	body = strings.NewReplacer("\r\n", `\r\n`, "\r", `\r`).Replace(body)
 	if w.Header().Get("Content-Type") == "application/json" {
 		body = refusalFields(body)
 	}
@@ -254,6 +257,9 @@
 	case "events":
 		answer.Body = eventStream(words[1:])
 		return answer, nil
+	case "framed", "unframed":
+		answer.EndsWithConnection = words[0] == "unframed"
+		return answer, setText(answer, strings.TrimSpace(strings.TrimPrefix(line, words[0])))
 	case "cut":
 		answer.Body = &body{data: strings.Join(words[2:], " "), err: io.ErrUnexpectedEOF}
 		return answer, nil
@@ -268,6 +274,25 @@
 	return answer, nil
 }
 
+// setText sets the body of the answer to a Go string literal, which type=TYPE may
+// precede.
+func setText(answer *amrforward.Answer, text string) error {
+	if after, ok := strings.CutPrefix(text, "type="); ok {
+		contentType, literal, _ := strings.Cut(after, " ")
+		answer.Header.Set("Content-Type", contentType)
+		text = literal
+	}
+	data, err := strconv.Unquote(text)
+	if err != nil {
+		return err
+	}
+	if !answer.EndsWithConnection {
+		answer.Length = int64(len(data))
+	}
+	answer.Body = &body{data: data, err: io.EOF}
+	return nil
+}
+
 // eventStream returns a stream of events with the IDs. It breaks off at "cut",
 // and at "part" within a further event.
 func eventStream(ids []string) *body {
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -18,16 +18,18 @@
 
 // The faults of a server.
 const (
-	FaultNone           Fault = iota
-	FaultReject               // The server rejects the request with the status 503, as if all its slots were in use.
-	FaultDropConnection       // The server runs the request and closes the connection without a response.
-	FaultTruncate             // The server closes the connection in the middle of the response body.
-	FaultMalformed            // The server sends bytes that are not an HTTP response.
-	FaultServerError          // The server runs the request and responds with the status 500.
-	FaultNoResponse           // The server runs the request and sends no response.
-	FaultEndlessHead          // The server sends a header without end.
-	FaultEndlessBody          // The server sends a body without a length and without end.
-	FaultDribble              // The server sends a stream that never ends, a byte now and then.
+	FaultNone             Fault = iota
+	FaultReject                 // The server rejects the request with the status 503, as if all its slots were in use.
+	FaultDropConnection         // The server runs the request and closes the connection without a response.
+	FaultTruncate               // The server closes the connection in the middle of the response body.
+	FaultMalformed              // The server sends bytes that are not an HTTP response.
+	FaultServerError            // The server runs the request and responds with the status 500.
+	FaultNoResponse             // The server runs the request and sends no response.
+	FaultEndlessHead            // The server sends a header without end.
+	FaultEndlessBody            // The server sends a body without a length and without end.
+	FaultDribble                // The server sends a stream that never ends, a byte now and then.
+	FaultNoLength               // The server sends a whole response with neither a length nor chunks and closes the connection.
+	FaultNoLengthTruncate       // The same, but a stream ends inside an event. The response of a plain service is whole.
 )
 
 const (
@@ -413,7 +415,9 @@
 
 // respond sends the response of a plain service.
 func (s *Server) respond(w http.ResponseWriter, fault Fault) {
-	w.Header().Set("Content-Length", strconv.Itoa(len(serviceBody+s.Name)))
+	if !endWithConnection(w, fault) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(serviceBody+s.Name)))
+	}
 	w.WriteHeader(http.StatusOK)
 	if fault == FaultTruncate {
 		_, _ = io.WriteString(w, serviceBody) // The client detects an error.
@@ -431,16 +435,31 @@
 		previous = last
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	endWithConnection(w, fault)
 	for id := previous + 1; id <= s.events; id++ {
 		writeEvent(w, id)
 		_ = http.NewResponseController(w).Flush() // The client detects an error.
 		s.clock.Sleep(s.pause)
-		if fault == FaultTruncate && id == s.events/2 {
-			fmt.Fprintf(w, "id: %d\nda", id+1)
-			_ = http.NewResponseController(w).Flush()
-			panic(http.ErrAbortHandler)
+		if id != s.events/2 || fault != FaultTruncate && fault != FaultNoLengthTruncate {
+			continue
+		}
+		fmt.Fprintf(w, "id: %d\nda", id+1)
+		_ = http.NewResponseController(w).Flush()
+		if fault == FaultNoLengthTruncate {
+			return // The connection is closed without a reset.
 		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// endWithConnection lets the response have neither a length nor chunks, so that its
+// end is the end of the connection, if the fault says so. It reports whether it does.
+func endWithConnection(w http.ResponseWriter, fault Fault) bool {
+	if fault != FaultNoLength && fault != FaultNoLengthTruncate {
+		return false
 	}
+	w.Header().Set("Transfer-Encoding", "identity") // Understood by net/http, and not sent.
+	return true
 }
 
 // writeEvent writes a server-sent event with the id.
