Take a stream that ends inside an event for broken off

A server that sends neither a length nor chunks ends its answer with the connection, and where it closes it in the middle of an event, the client reports io.EOF: the relay sent the rest of the event and the terminating chunk. Cause: the end of the body was the only sign of a complete stream. The class: an end that is marked by nothing but the end of the connection is taken for the end of the answer. Change: the relay follows the lines of a stream (LF, CR or CRLF; comments aside). One that ends inside an event, or with its connection before any event, has broken off, whatever its framing says: it is resumed where that is allowed, and otherwise the caller's connection is aborted. A stream is passed on without its length, since a caller that has all of its bytes could not be told. Answers of another content type are not streams of events and pass as before. The fault soak has such servers as a new kind of fault, server-no-length.

--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -141,16 +141,24 @@
 // the first bytes of the body, so that the request can still be sent to another
 // server if the stream breaks off before. On a resumable route it writes only
 // complete events until the stream has ended, because another server can only
-// continue after a complete event.
+// continue after a complete event. It returns an error if the end shows that the
+// stream broke off, also where the server marked the end as that of the answer.
 func (x *exchange) copyStream(a *Answer) error {
+	// Another server may continue the stream, and a caller that has received all
+	// bytes could not be told that the last event is incomplete.
+	a.Length = -1
 	var splitter eventSplitter
 	resumable := x.route.Resumable
+	events := hasEvents(a.Header)
 	err := x.copyBody(a.Body, func(p []byte) error {
-		if resumable {
+		switch {
+		case resumable:
 			p = splitter.push(p)
 			if len(p) == 0 {
 				return nil
 			}
+		case events:
+			splitter.tracker.push(p)
 		}
 		x.writeHeader(a)
 		if err := x.write(p); err != nil {
@@ -164,6 +172,11 @@
 	if err != nil {
 		return err
 	}
+	if events {
+		if err := splitter.tracker.checkEnd(a.EndsWithConnection); err != nil {
+			return err
+		}
+	}
 	x.writeHeader(a)
 	if remainder := splitter.remainder(); len(remainder) > 0 {
 		return x.write(remainder)
@@ -217,9 +230,7 @@
 	for name, values := range a.Header {
 		header[name] = values
 	}
-	// The length of a stream changes if another server continues it.
-	resumable := x.route.Kind == amrroute.Stream && x.route.Resumable
-	if a.Length >= 0 && !resumable {
+	if a.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	x.w.WriteHeader(a.Status)
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -29,6 +29,7 @@
 	FaultEndlessBody            // The server sends a body without a length and without end.
 	FaultDribble                // The server sends a stream that never ends, a byte now and then.
 	FaultNoLength               // The server sends a whole response with neither a length nor chunks and closes the connection.
+	FaultIncompleteEvent        // The server sends a stream with a length that ends inside an event.
 	FaultNoLengthTruncate       // The same, but a stream ends inside an event. The response of a plain service is whole.
 )
 
@@ -436,6 +437,12 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	endWithConnection(w, fault)
+	if fault == FaultIncompleteEvent {
+		body := StreamBody(s.events/2) + "id: " + strconv.Itoa(s.events/2+1) + "\nda"
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body) // The client detects an error.
+		return
+	}
 	for id := previous + 1; id <= s.events; id++ {
 		writeEvent(w, id)
 		_ = http.NewResponseController(w).Flush() // The client detects an error.
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -56,6 +56,7 @@
 	storeRestored       faultKind = "store-restored"       // The store comes back from an older copy, and operators and servers write again what was lost.
 	serverTellsLeaving  faultKind = "server-tells-leaving" // A backend server tells in its responses that it is leaving, and restarts.
 	serverAsksPause     faultKind = "server-asks-pause"    // A backend server rejects requests and asks for no more of them.
+	serverNoLength      faultKind = "server-no-length"     // A backend server ends its responses, whole or inside an event, only with the connection.
 	serverEndless       faultKind = "server-endless"       // A backend server sends bytes that are no response, without end.
 )
 
@@ -65,7 +66,7 @@
 var faultKinds = []faultKind{
 	killRouter, killAllRouters, stopRouter, pauseRouter, hangUp, callersLink, storeLink, serverLink, storeDown, storeLosesAnswers,
 	storeForgetsHistory, storeClock, storeInvalidRows, serverErrors, serverDrains, serverCrashes, revokeKey, newWeights,
-	poisonRequest, peersLink, storeRestored, serverTellsLeaving, serverAsksPause, serverEndless,
+	poisonRequest, peersLink, storeRestored, serverTellsLeaving, serverAsksPause, serverEndless, serverNoLength,
 }
 
 // fault is one fault of a soak test. Only some of its fields apply to each kind.
@@ -206,9 +207,7 @@
 	case storeInvalidRows:
 		s.store.PutMalformedRows()
 	case serverErrors:
-		b.SetFault(f.ServerFault, f.FaultyRequests)
-		s.clock.Sleep(f.Length)
-		b.SetFault(amrsite.FaultNone, 0)
+		s.failRequests(b, f.ServerFault, f)
 	case serverDrains:
 		s.drainServer(b, f.Length)
 	case serverCrashes:
@@ -226,13 +225,23 @@
 	case serverAsksPause:
 		s.askPause(b, f)
 	case serverEndless:
-		b.SetFault(endlessFaults[f.FaultyRequests%len(endlessFaults)], f.FaultyRequests)
-		s.clock.Sleep(f.Length)
-		b.SetFault(amrsite.FaultNone, 0)
+		s.failRequests(b, endlessFaults[f.FaultyRequests%len(endlessFaults)], f)
+	case serverNoLength:
+		s.failRequests(b, noLengthFaults[f.FaultyRequests%len(noLengthFaults)], f)
 	}
 	return nil
 }
 
+// failRequests applies the server fault to as many requests as f says.
+func (s *site) failRequests(b *server, fault amrsite.Fault, f fault) {
+	b.SetFault(fault, f.FaultyRequests)
+	s.clock.Sleep(f.Length)
+	b.SetFault(amrsite.FaultNone, 0)
+}
+
+// noLengthFaults are the faults with responses that end with their connection.
+var noLengthFaults = []amrsite.Fault{amrsite.FaultNoLength, amrsite.FaultNoLengthTruncate}
+
 // endlessFaults are the faults with responses that do not end.
 var endlessFaults = []amrsite.Fault{amrsite.FaultEndlessHead, amrsite.FaultEndlessBody}
 
