Log the shared parts of requests that get a strike

A strike's line now has the model, the IDs of the parts that other prompts may have, and whether the caller had received the beginning of the answer. No decision changes.

--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -33,7 +34,8 @@
 	case amrpool.Failed:
 		hash := xxh3.HashString(server)
 		n := x.f.strikes.Add(now, x.fingerprint, hash)
-		x.f.log.Info("strike", "id", x.request.ID, "fingerprint", x.fingerprint, "server", server, "strikes", n)
+		x.f.log.Info("strike", "id", x.request.ID, "fingerprint", x.fingerprint, "server", server, "strikes", n,
+			"model", x.request.Model, "parts", strings.Join(sharedParts(x.request.Parts), ","), "begun", x.headerWritten)
 		if n > 0 {
 			x.f.reportStrike(amrgossip.Strike{Fingerprint: x.fingerprint, Server: hash}, n)
 		}
@@ -45,6 +47,16 @@
 	}
 }
 
+// sharedParts returns the IDs of the parts that other prompts may have, too: all but
+// the last one, which belongs to the request or its session.
+func sharedParts(parts []amrpool.Part) []string {
+	var ids []string
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // checkQuarantine returns a refusal if the request has too many strikes, and
 // nil otherwise. With a refusal, it also reminds the other routers of a strike
 // if a reminder is due.
