--- a/core/amrforward/forward_test.go
+++ b/core/amrforward/forward_test.go
@@ -34,7 +34,7 @@
 //	budget SLACK                 starts a new forwarder that allows SLACK retries
 //	no-table                     starts a new forwarder without a routing table
 //	answers                      sets the behavior of the backend servers, with one line for each send
-//	request KIND [key=K] [resume=ID] [patience=DURATION] [leave]
+//	request KIND [key=K] [resume=ID] [patience=DURATION] [leave] [parts=(ID,...) body=TEXT]
 //	log                          prints the log lines of the last request
 //
 // The command request sends a request to the route KIND. It prints the status
@@ -143,6 +143,13 @@
 				t.Fatal(err)
 			}
 			r.CallerTimeout = timeout
+		case "parts":
+			r.Model = "m1"
+			for _, id := range arg.Vals {
+				r.Parts = append(r.Parts, amrpool.Part{ID: id, Tokens: 100})
+			}
+		case "body":
+			r.Body = []byte(arg.Vals[0])
 		case "leave":
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithCancel(ctx)
--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -20,6 +20,10 @@
 // the request, as if the request had crashed it.
 const poisonQuery = "poison"
 
+// CrashingPart begins the ID of a part of prompts that crashes each Server which
+// begins to respond to it, unless the part is the last one.
+const CrashingPart = "bad"
+
 // Request is a client's request to a router.
 type Request struct {
 	ID          string
@@ -28,12 +32,13 @@
 	Model       string        // Requested model; only used on the routes for streams.
 	Timeout     time.Duration // Sent in DeadlineHeader.
 	PromptParts string        // Parts of the prompt as "ID:TOKENS,..."; only used on the routes for streams.
+	Content     string        // Distinguishes requests that are otherwise the same.
 	Poison      string        // If not empty, each server that runs the request drops its connection.
 }
 
 // NewHTTPRequest returns the HTTP request to the router at the address.
 func (r Request) NewHTTPRequest(ctx context.Context, address string) (*http.Request, error) {
-	url := "http://" + address + "/" + r.Route + "/x?y=1"
+	url := "http://" + address + "/" + r.Route + "/x?y=1" + r.Content
 	if r.Poison != "" {
 		url += "&" + poisonQuery + "=" + r.Poison
 	}
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,6 +67,8 @@
 	pause       time.Duration // Time between two events.
 	serviceTime time.Duration // Time that a plain service takes for a request.
 	loadTime    time.Duration // Time to load weights.
+	crashes     int           // Number of crashes so far.
+	crashedAt   time.Time     // Time of the last crash.
 	observe     func(Run)     // Called at the start of each run; may be nil.
 
 	observeRejection func(id, retryAfter string) // Called for each rejected request; may be nil.
@@ -269,6 +272,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // An error of the body has no effect on the response.
 	status, fault, version := s.begin(r)
+	crashes := s.Crashes()
 	if status != 0 {
 		s.reject(w, r, status)
 		return
@@ -310,11 +314,40 @@
 		s.dribble(w, r)
 	case s.Model == "":
 		s.respond(w, fault)
+	case crashesServer(r):
+		s.clock.Sleep(s.pause)
+		s.crash()
+		panic(http.ErrAbortHandler)
 	default:
-		s.stream(w, r, fault)
+		s.stream(w, r, fault, crashes)
 	}
 }
 
+// crashTime is the time after a crash for which a server rejects all requests.
+const crashTime = 100 * time.Millisecond
+
+// crashesServer reports whether a part of the prompt, other than the last one,
+// crashes servers.
+func crashesServer(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get("Amaranthreach-Prefix-Hash"), ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return strings.HasPrefix(part, CrashingPart) })
+}
+
+// crash breaks off all responses in progress.
+func (s *Server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes++
+	s.crashedAt = s.clock.Now()
+}
+
+// Crashes returns the number of crashes so far.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
 // dribbleInterval is the time between two bytes of a stream that never ends.
 const dribbleInterval = 100 * time.Millisecond
 
@@ -371,7 +404,7 @@
 		fault = s.fault
 		s.faultsLeft--
 	}
-	if fault == FaultReject || s.loading {
+	if fault == FaultReject || s.loading || s.crashes > 0 && s.clock.Since(s.crashedAt) < crashTime {
 		return http.StatusServiceUnavailable, fault, 0
 	}
 	run := Run{
@@ -429,8 +462,9 @@
 }
 
 // stream sends events with consecutive ids, which start at 1, or after the id that a
-// resumed request names.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
+// resumed request names. It breaks off if the server crashes for another time than
+// the given number of times.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault Fault, crashes int) {
 	previous := 0
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		previous = last
@@ -447,6 +481,9 @@
 		writeEvent(w, id)
 		_ = http.NewResponseController(w).Flush() // The client detects an error.
 		s.clock.Sleep(s.pause)
+		if s.Crashes() != crashes {
+			panic(http.ErrAbortHandler)
+		}
 		if id != s.events/2 || fault != FaultTruncate && fault != FaultNoLengthTruncate {
 			continue
 		}
