Quarantine a part of prompts that crashes servers

Cause: strikes are counted by the content of the request. No two of these requests are alike, so none comes to three strikes. The class: the failure is attributed to a key that is more specific than its cause. Change: routers report broken runs with the parts of their prompts to two routers that collect the crashes of the model, which quarantine a part that several different requests had in common when servers crashed, and with which no prompt was answered in between. Known sound parts are asked for first, since the first part of these prompts is that of sound requests. All routers are told; the shared table keeps it for routers that start. After 5 to 10 s one request is let through: an answer lifts the quarantine, a crash prolongs it to minutes. Refusals have a reason of their own, quarantined-part. Reports no longer wait in the exchange until all facts have been passed on (120 ms with one peer).

--- a/core/amrdirect/gossip.go
+++ b/core/amrdirect/gossip.go
@@ -22,6 +22,7 @@
 		f.Leaving = append(f.Leaving, amrgossip.Leaving{Server: amrgossip.ServerID(l.Server), StartedMS: l.Started.UnixMilli()})
 	}
 	f.Strikes = a.router.forward.TakeStrikes()
+	f.Parts = a.router.forward.TakePartNotices()
 	f.Progress = a.router.rollout.takeProgress()
 	return f
 }
@@ -36,6 +37,7 @@
 		}
 	}
 	r.forward.ApplyStrikes(now, f.Strikes)
+	r.forward.ApplyPartNotices(now, f.Parts)
 	for _, p := range f.Progress {
 		r.fleet.ApplyProgress(now, amrpool.RolloutProgress{
 			Row:   amrpool.RowPosition{Era: p.RowEra, Version: p.RowVersion},
@@ -46,13 +48,13 @@
 	}
 }
 
-// TakeReports returns the strikes to report to the routers that collect them.
-func (a gossipAdapter) TakeReports() []amrgossip.Strike {
+// TakeReports returns the reports for the routers that collect them.
+func (a gossipAdapter) TakeReports() amrgossip.Reports {
 	return a.router.forward.TakeReports()
 }
 
-// ApplyReports applies strikes that this router collects.
-func (a gossipAdapter) ApplyReports(now time.Time, reports []amrgossip.Strike) {
+// ApplyReports applies reports that this router collects.
+func (a gossipAdapter) ApplyReports(now time.Time, reports amrgossip.Reports) {
 	a.router.forward.ApplyReports(now, reports)
 }
 
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -118,6 +118,7 @@
 	factsReady chan struct{} // Signals that there are facts for the other routers.
 	followers  []*amrfollow.Follower
 	registrar  *registrar
+	quarantine *quarantines
 	routers    atomic.Int64  // Number of registered routers.
 	era        atomic.Uint64 // Newest era of the platform's store that any table or router told of.
 	stopping   atomic.Bool
@@ -167,15 +168,8 @@
 	r.factsReady = make(chan struct{}, 1)
 	r.fleet = amrpool.New(r.fleetOptions()...)
 	r.placer = amrcoord.New(settings.Host, r.fleet, recordNames{r}, r.clock, r.log, r.registry)
-	r.forward = amrforward.New(r.fleet, deps.Backend,
-		amrforward.WithClock(r.clock),
-		amrforward.WithBootClock(r.boot),
-		amrforward.WithLogger(r.log),
-		amrforward.WithMetrics(amrforward.NewMetrics(r.registry)),
-		amrforward.WithPlacer(r.placer),
-		amrforward.WithNews(r.requestSend),
-		amrforward.WithRetryBounds(settings.Bounds.Retries, func() int { return int(r.routers.Load()) }),
-	)
+	r.quarantine = newQuarantines(r)
+	r.forward = amrforward.New(r.fleet, deps.Backend, r.forwarderOptions()...)
 	r.rollout = r.newRollout()
 	r.rowApplier = &rowApplier{decoder: deps.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout}
 	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipAdapter{router: r}, r.clock, r.log,
@@ -189,6 +183,25 @@
 	return r
 }
 
+// forwarderOptions returns the options of the forwarder.
+func (r *Router) forwarderOptions() []amrforward.Option {
+	options := []amrforward.Option{
+		amrforward.WithClock(r.clock),
+		amrforward.WithBootClock(r.boot),
+		amrforward.WithLogger(r.log),
+		amrforward.WithMetrics(amrforward.NewMetrics(r.registry)),
+		amrforward.WithPlacer(r.placer),
+		amrforward.WithNews(r.requestSend),
+		amrforward.WithRetryBounds(r.settings.Bounds.Retries, func() int { return int(r.routers.Load()) }),
+		amrforward.WithHost(r.settings.Host),
+		amrforward.WithPartChanges(r.quarantine.store),
+	}
+	if r.settings.NoticesAddress != "" {
+		options = append(options, amrforward.WithPartReports())
+	}
+	return options
+}
+
 // fleetOptions returns the options of the fleet according to the settings.
 func (r *Router) fleetOptions() []amrpool.Option {
 	options := []amrpool.Option{
@@ -387,15 +400,17 @@
 		group.Go(func() error { return f.Run(ctx) })
 	}
 	group.Go(func() error { return r.registrar.run(ctx) })
+	group.Go(func() error { return r.quarantine.run(ctx) })
 	group.Go(func() error { return r.gossip.Run(ctx) })
 	group.Go(func() error { return r.placer.Run(ctx) })
 	return group.Wait()
 }
 
-// applyShared applies changed rows of the shared table: the rollout lease and
-// the registrations of routers.
+// applyShared applies changed rows of the shared table: the rollout lease, the
+// quarantined parts of prompts and the registrations of routers.
 func (r *Router) applyShared(u amrfollow.Update) {
 	r.rollout.applyShared(u)
+	r.quarantine.applyShared(u)
 	r.registrar.applyShared(u, r.copies.Followers[tableShared].Copy())
 	var hosts []string
 	var routers []amrreplica.Router
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -60,6 +60,7 @@
 	startedBoot time.Time // The same, by the clock that counts suspensions of the host.
 
 	fingerprint amrsuspect.Fingerprint
+	suspects    []amrsuspect.PartKey // Parts of the prompt that may crash servers.
 
 	skipPartsWait bool     // The request no longer waits for other requests to compute shared prompt parts.
 	excluded      []string // Servers that must not be picked again.
@@ -101,6 +102,9 @@
 		if done {
 			return r
 		}
+		if r := x.checkParts(x.f.clock.Now()); r != nil {
+			return r
+		}
 	}
 }
 
--- a/core/amrforward/forward_test.go
+++ b/core/amrforward/forward_test.go
@@ -42,8 +42,8 @@
 // server. With leave, the caller disconnects after 30 ms.
 //
 // A line of answers is "STATUS BODY", "full", "other-server", "not-sent",
-// "broken" (the connection breaks before the answer), "hang" (the server does
-// not answer), "cut STATUS BODY" (the body breaks off),
+// "broken" (the connection breaks before the answer), "crash" (the same, after
+// crashDelay), "hang" (the server does not answer), "cut STATUS BODY" (the body breaks off),
 // "events ID... [cut|part]" (a stream, which breaks off after or within an
 // event), or "framed TEXT" or "unframed TEXT" (a Go string literal, sent with a
 // length, or with neither a length nor chunks and ended by the end of the
@@ -254,6 +254,9 @@
 		return nil, amrhttp.NotSent.New("refused")
 	case "broken":
 		return nil, amrhttp.Broken.New("reset")
+	case "crash":
+		clock.Sleep(crashDelay)
+		return nil, amrhttp.Broken.New("reset")
 	case "hang":
 		<-ctx.Done()
 		return nil, amrhttp.Broken.Wrap(ctx.Err(), "no answer")
@@ -300,6 +303,10 @@
 	return nil
 }
 
+// crashDelay is longer than the time within which crashes count as one, and than
+// routers wait for replies of others about a part.
+const crashDelay = 110 * time.Millisecond
+
 // eventStream returns a stream of events with the IDs. It breaks off at "cut",
 // and at "part" within a further event.
 func eventStream(ids []string) *body {
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -84,6 +84,11 @@
 	pendingStrikes []amrgossip.Strike          // Strikes that all routers must be told of.
 	reports        []amrgossip.Strike          // Strikes that the routers which collect them must be told of.
 	onNews         func()                      // Called when other routers must be told of something.
+
+	parts           *amrsuspect.Parts
+	reportsParts    bool // Crashes are reported to the routers that collect them.
+	storePartChange func(PartChange)
+	partNews        partNews // Guarded by mu.
 }
 
 // DefaultWarmUp is the time after the start of a router during which requests
@@ -156,6 +161,9 @@
 		windows: make(map[string]*amrretry.Window),
 		strikes: amrsuspect.NewStrikes(),
 
+		parts:           amrsuspect.NewParts(""),
+		storePartChange: func(PartChange) {},
+
 		onNews: func() {},
 		warmUp: DefaultWarmUp,
 	}
@@ -270,9 +278,13 @@
 	x.pool = x.route.PoolOf(x.request.ID)
 	x.retryable = x.route.Repeatable()
 	x.fingerprint = amrsuspect.FingerprintOf(x.request.Key, x.request.Method, x.request.Target, string(x.request.Body))
+	x.suspects = x.request.suspectParts()
 	if r := x.checkQuarantine(x.request.Arrived); r != nil {
 		return r
 	}
+	if r := x.checkParts(x.request.Arrived); r != nil {
+		return r
+	}
 	x.deadline = x.request.Arrived.Add(x.route.Timeout)
 	if p := x.request.CallerTimeout; p > 0 && p < x.route.Timeout {
 		x.deadline = x.request.Arrived.Add(p)
--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -19,6 +19,7 @@
 	duration  *prometheus.HistogramVec
 
 	endsWithConnection *prometheus.CounterVec
+	quarantines        *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics and registers them with the registerer unless that
@@ -33,9 +34,10 @@
 		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "amr_request_seconds", Help: "Time from a request to the end of its answer.", Buckets: buckets}, []string{"route"}),
 
 		endsWithConnection: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_answers_ended_by_connection_total", Help: "Answers with neither a length nor chunks, by pool and result of the send."}, []string{"pool", "result"}),
+		quarantines:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_part_quarantines_total", Help: "Quarantines of parts of prompts that this router has decided, lifted or received."}, []string{"change"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.sends, m.wait, m.firstByte, m.duration, m.endsWithConnection)
+		registerer.MustRegister(m.requests, m.sends, m.wait, m.firstByte, m.duration, m.endsWithConnection, m.quarantines)
 	}
 	return m
 }
--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -39,7 +39,9 @@
 		if n > 0 {
 			x.f.reportStrike(amrgossip.Strike{Fingerprint: x.fingerprint, Server: hash}, n)
 		}
+		x.reportPartCrash(now, hash)
 	case amrpool.Completed:
+		x.recordPartAnswer(now)
 		if n := x.f.strikes.RecordSuccess(now, x.fingerprint); n > 0 {
 			x.f.log.Info("strikes cleared", "id", x.request.ID, "fingerprint", x.fingerprint, "strikes", n)
 			x.f.reportStrike(amrgossip.Strike{Fingerprint: x.fingerprint, Cleared: true}, n)
@@ -69,7 +71,7 @@
 		x.f.reportStrike(amrgossip.Strike{Fingerprint: x.fingerprint, Server: server}, amrsuspect.MaxStrikes)
 	}
 	return &refusal{
-		code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: (left + time.Second - 1).Truncate(time.Second),
+		code: amrreason.Quarantined, ran: amrreason.NotRun, retryAfter: roundUp(left),
 		detail: fmt.Sprintf("fingerprint %v, last strike %v ago", x.fingerprint, (amrsuspect.StrikeTTL - left).Round(time.Millisecond)),
 	}
 }
@@ -99,13 +101,13 @@
 	return strikes
 }
 
-// TakeReports returns the strikes to send to the routers that collect them, and
+// TakeReports returns the reports to send to the routers that collect them, and
 // removes them from the queue.
-func (f *Forwarder) TakeReports() []amrgossip.Strike {
+func (f *Forwarder) TakeReports() amrgossip.Reports {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reports := f.reports
-	f.reports = nil
+	reports := amrgossip.Reports{Strikes: f.reports, Crashes: f.partNews.crashes, Sound: f.partNews.sound}
+	f.reports, f.partNews.crashes, f.partNews.sound = nil, nil, nil
 	return reports
 }
 
@@ -125,10 +127,17 @@
 	}
 }
 
-// ApplyReports applies strikes of requests whose strikes this router collects. If a
-// request has enough of them, all routers are told.
-func (f *Forwarder) ApplyReports(now time.Time, reports []amrgossip.Strike) {
-	for _, s := range reports {
+// ApplyReports applies reports that this router collects.
+func (f *Forwarder) ApplyReports(now time.Time, r amrgossip.Reports) {
+	f.applyStrikeReports(now, r.Strikes)
+	f.ApplyCrashes(now, r.Crashes)
+	f.ApplySound(now, r.Sound)
+}
+
+// applyStrikeReports applies strikes of requests whose strikes this router collects.
+// If a request has enough of them, all routers are told.
+func (f *Forwarder) applyStrikeReports(now time.Time, strikes []amrgossip.Strike) {
+	for _, s := range strikes {
 		fingerprint := amrsuspect.Fingerprint(s.Fingerprint)
 		before := len(f.strikes.Servers(fingerprint))
 		f.ApplyStrikes(now, []amrgossip.Strike{s})
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -39,9 +39,17 @@
 	// within it are passed on together.
 	factsInterval = 20 * time.Millisecond
 
-	// collectors is the number of routers that collect the strikes of a request.
+	// collectors is the number of routers that collect the strikes of a request, or
+	// the crashes of the servers of a model.
 	collectors = 2
 
+	// maxCrashes is the maximum number of crashes in one message, which keeps it
+	// within maxDatagram. Each has at most MaxSuspectParts parts.
+	maxCrashes = 8
+
+	// MaxSuspectParts is the maximum number of parts of a PartCrash.
+	MaxSuspectParts = 5
+
 	// placementReserve is the share of the budget that is reserved for facts.
 	placementReserve = 0.5
 )
@@ -55,13 +63,12 @@
 	// TakeFacts returns the facts that the router has observed since the last call.
 	TakeFacts() Facts
 
-	// TakeReports returns the strikes that the router has observed since the last
-	// call. They are sent only to the routers that collect the strikes of the
-	// request.
-	TakeReports() []Strike
+	// TakeReports returns the reports for other routers since the last call. Each is
+	// sent only to the routers that collect it.
+	TakeReports() Reports
 
-	// ApplyReports applies strikes that this router collects.
-	ApplyReports(now time.Time, reports []Strike)
+	// ApplyReports applies reports that this router collects.
+	ApplyReports(now time.Time, r Reports)
 
 	// ApplyFacts applies facts that another router observed.
 	ApplyFacts(now time.Time, f Facts)
@@ -248,8 +255,8 @@
 	if m.Facts != nil {
 		e.handleFacts(now, *m.Facts)
 	}
-	if len(m.Reports) > 0 {
-		e.state.ApplyReports(now, m.Reports)
+	if len(m.Reports)+len(m.Crashes)+len(m.Sound) > 0 {
+		e.state.ApplyReports(now, Reports{Strikes: m.Reports, Crashes: m.Crashes, Sound: m.Sound})
 	}
 	if m.Ping != 0 {
 		e.send(m.From, message{Pong: m.Ping}, kindPlacement)
@@ -310,39 +317,63 @@
 				return nil
 			case <-e.clock.After(factsInterval):
 			}
+			e.report() // Reports do not wait until all facts have been passed on.
 		}
 	}
 }
 
-// report sends strikes to the routers that collect them.
+// report sends reports to the routers that collect them.
 func (e *Exchange) report() {
-	byHost := make(map[HostID][]Strike)
-	for _, s := range e.state.TakeReports() {
-		for _, host := range e.collectorsOf(s) {
-			byHost[host] = append(byHost[host], s)
+	byHost := make(map[HostID]*Reports)
+	add := func(key uint64, add func(*Reports)) {
+		for _, host := range e.collectorsOf(key) {
+			if byHost[host] == nil {
+				byHost[host] = &Reports{}
+			}
+			add(byHost[host])
 		}
 	}
-	for host, strikes := range byHost {
+	reports := e.state.TakeReports()
+	for _, s := range reports.Strikes {
+		add(xxh3.Hash(s.Fingerprint[:]), func(r *Reports) { r.Strikes = append(r.Strikes, s) })
+	}
+	for _, c := range reports.Crashes {
+		add(c.Model, func(r *Reports) { r.Crashes = append(r.Crashes, c) })
+	}
+	for _, p := range reports.Sound {
+		add(p.Model, func(r *Reports) { r.Sound = append(r.Sound, p) })
+	}
+	for host, r := range byHost {
 		if host == e.host {
-			e.state.ApplyReports(e.clock.Now(), strikes)
+			e.state.ApplyReports(e.clock.Now(), *r)
 			continue
 		}
-		for part := range slices.Chunk(strikes, maxFactItems) {
-			e.send(host, message{Reports: part}, kindFacts)
-		}
+		e.sendReports(host, *r)
+	}
+}
+
+// sendReports sends reports to another router.
+func (e *Exchange) sendReports(to HostID, r Reports) {
+	for some := range slices.Chunk(r.Strikes, maxFactItems) {
+		e.send(to, message{Reports: some}, kindFacts)
+	}
+	for some := range slices.Chunk(r.Crashes, maxCrashes) {
+		e.send(to, message{Crashes: some}, kindFacts)
+	}
+	for some := range slices.Chunk(r.Sound, maxFactItems) {
+		e.send(to, message{Sound: some}, kindFacts)
 	}
 }
 
-// collectorsOf returns the routers that collect the strikes of the request, by
+// collectorsOf returns the routers that collect the reports with the key, by
 // rendezvous hashing over all routers.
-func (e *Exchange) collectorsOf(s Strike) []HostID {
+func (e *Exchange) collectorsOf(key uint64) []HostID {
 	e.mu.Lock()
 	hosts := []HostID{e.host}
 	for _, p := range e.peers {
 		hosts = append(hosts, p.host)
 	}
 	e.mu.Unlock()
-	key := xxh3.Hash(s.Fingerprint[:])
 	slices.SortFunc(hosts, func(a, b HostID) int { return cmp.Compare(rank(b, key), rank(a, key)) })
 	return hosts[:min(collectors, len(hosts))]
 }
--- a/core/amrgossip/exchange_test.go
+++ b/core/amrgossip/exchange_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,12 +25,12 @@
 // once, and passes what it receives to channels.
 type router struct {
 	facts   amrgossip.Facts
-	reports []amrgossip.Strike
+	reports amrgossip.Reports
 	era     uint64
 	news    chan struct{}
 
 	received chan amrgossip.Facts
-	reported chan []amrgossip.Strike
+	reported chan amrgossip.Reports
 	eras     chan uint64
 	replies  chan amrgossip.Reply
 	updates  chan []amrgossip.Update
@@ -40,7 +41,7 @@
 
 func newRouter() *router {
 	return &router{
-		news: make(chan struct{}, 1), received: make(chan amrgossip.Facts, 100), reported: make(chan []amrgossip.Strike, 100), eras: make(chan uint64, 1000),
+		news: make(chan struct{}, 1), received: make(chan amrgossip.Facts, 100), reported: make(chan amrgossip.Reports, 100), eras: make(chan uint64, 1000),
 		replies: make(chan amrgossip.Reply, 10), updates: make(chan []amrgossip.Update, 10), pongs: make(chan amrgossip.HostID, 1000),
 		common: make(chan []amrgossip.Common, 10), sent: make(chan struct{}, 10),
 	}
@@ -52,17 +53,17 @@
 	return f
 }
 
-func (r *router) TakeReports() []amrgossip.Strike {
+func (r *router) TakeReports() amrgossip.Reports {
 	reports := r.reports
-	r.reports = nil
+	r.reports = amrgossip.Reports{}
 	return reports
 }
 
-func (r *router) ApplyReports(_ time.Time, reports []amrgossip.Strike) { r.reported <- reports }
-func (r *router) ApplyFacts(_ time.Time, f amrgossip.Facts)            { r.received <- f }
-func (r *router) ObserveEra(era uint64)                                { r.eras <- era }
-func (r *router) Era() uint64                                          { return r.era }
-func (r *router) SendRequested() <-chan struct{}                       { return r.news }
+func (r *router) ApplyReports(_ time.Time, reports amrgossip.Reports) { r.reported <- reports }
+func (r *router) ApplyFacts(_ time.Time, f amrgossip.Facts)           { r.received <- f }
+func (r *router) ObserveEra(era uint64)                               { r.eras <- era }
+func (r *router) Era() uint64                                         { return r.era }
+func (r *router) SendRequested() <-chan struct{}                      { return r.news }
 
 func (r *router) HandleQuery(_ time.Time, _ amrgossip.HostID, q amrgossip.Query, send func(amrgossip.Reply) bool) {
 	send(amrgossip.Reply{Sequence: q.Sequence, Server: amrgossip.ServerID(q.PromptTokens), CostMS: 12})
@@ -154,10 +155,28 @@
 		progress.Begun = append(progress.Begun, amrgossip.ServerID(1<<31+i))
 	}
 	from.facts = amrgossip.Facts{Progress: []amrgossip.Progress{progress}}
-	from.reports = []amrgossip.Strike{{Fingerprint: [16]byte{1, 2}, Server: 1 << 63, Sequence: 4}}
+	const crashes = 20 // More than fit into one datagram.
+	crash := amrgossip.PartCrash{Model: 1 << 63, Server: 1 << 63, Content: 1 << 63}
+	for i := range amrgossip.MaxSuspectParts {
+		crash.Parts = append(crash.Parts, amrgossip.SuspectPart{Part: 1<<63 + uint64(i), Sound: true, AgeMS: 1 << 40})
+	}
+	from.reports = amrgossip.Reports{
+		Strikes: []amrgossip.Strike{{Fingerprint: [16]byte{1, 2}, Server: 1 << 63, Sequence: 4}},
+		Crashes: slices.Repeat([]amrgossip.PartCrash{crash}, crashes),
+		Sound:   []amrgossip.SoundPart{{Model: 1, Part: 2, AgeMS: 3}},
+	}
 	from.news <- struct{}{}
 	receive(ctx, t, from.sent)
-	is.Equal(receive(ctx, t, to.reported)[0], amrgossip.Strike{Fingerprint: [16]byte{1, 2}, Server: 1 << 63, Sequence: 4})
+	var reported amrgossip.Reports
+	for len(reported.Strikes) == 0 || len(reported.Crashes) < crashes || len(reported.Sound) == 0 {
+		r := receive(ctx, t, to.reported)
+		reported.Strikes = append(reported.Strikes, r.Strikes...)
+		reported.Crashes = append(reported.Crashes, r.Crashes...)
+		reported.Sound = append(reported.Sound, r.Sound...)
+	}
+	is.Equal(reported.Strikes[0], amrgossip.Strike{Fingerprint: [16]byte{1, 2}, Server: 1 << 63, Sequence: 4})
+	is.Equal(reported.Crashes[crashes-1], crash)
+	is.Equal(reported.Sound[0], amrgossip.SoundPart{Model: 1, Part: 2, AgeMS: 3})
 	var begun []amrgossip.ServerID
 	for len(begun) < servers {
 		for _, p := range receive(ctx, t, to.received).Progress {
--- a/core/amrgossip/message.go
+++ b/core/amrgossip/message.go
@@ -19,6 +19,9 @@
 	Pong    uint32   `cbor:"8,keyasint,omitempty"`
 	Reports []Strike `cbor:"9,keyasint,omitempty"` // Strikes that the receiver collects.
 	Common  []Common `cbor:"10,keyasint,omitempty"`
+
+	Crashes []PartCrash `cbor:"11,keyasint,omitempty"` // Crashes that the receiver collects.
+	Sound   []SoundPart `cbor:"12,keyasint,omitempty"` // Parts that the receiver has asked for or quarantined.
 }
 
 // HostID identifies the host of a router in messages. It is a hash of the host's
@@ -34,6 +37,64 @@
 	Leaving  []Leaving  `cbor:"1,keyasint,omitempty"`
 	Strikes  []Strike   `cbor:"2,keyasint,omitempty"`
 	Progress []Progress `cbor:"3,keyasint,omitempty"`
+
+	Parts []PartNotice `cbor:"4,keyasint,omitempty"`
+}
+
+// PartNotice asks whether a part of prompts is sound, or tells that it is quarantined
+// or no longer is.
+type PartNotice struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     PartNoticeKind
+	Model    uint64 // Hash of the model's name.
+	Part     uint64 // See amrsuspect.PartKey.
+	Level    int    // Of a quarantine.
+	AgeMS    int64  // Time since the start of a quarantine.
+	Sound    bool   // Prompts with a quarantined part had been answered before.
+	Sequence uint32 // Distinguishes notices that are otherwise equal; chosen by the router that sends them first.
+}
+
+// PartNoticeKind is the kind of a PartNotice.
+type PartNoticeKind int
+
+// The kinds of a PartNotice.
+const (
+	PartAsked PartNoticeKind = iota
+	PartQuarantined
+	PartLifted
+)
+
+// Reports are what a router tells only those that collect it: two for each request or
+// each model.
+type Reports struct {
+	Strikes []Strike
+	Crashes []PartCrash
+	Sound   []SoundPart
+}
+
+// PartCrash reports a run that broke off, probably because its server crashed.
+type PartCrash struct {
+	_       struct{} `cbor:",toarray"`
+	Model   uint64   // Hash of the model's name.
+	Server  uint64   // Hash of the server's name.
+	Content uint64   // Identifies the content of the request.
+	Parts   []SuspectPart
+}
+
+// SuspectPart is a part of the prompt of such a run.
+type SuspectPart struct {
+	_     struct{} `cbor:",toarray"`
+	Part  uint64
+	Sound bool  // The sender has answered prompts with the part.
+	AgeMS int64 // Time since the last of them.
+}
+
+// SoundPart reports that the sender has answered a prompt with the part.
+type SoundPart struct {
+	_     struct{} `cbor:",toarray"`
+	Model uint64   // Hash of the model's name.
+	Part  uint64
+	AgeMS int64 // Time since then.
 }
 
 // Common tells the coordinator of another placement group which backend server has a
--- a/core/amrgossip/spreader.go
+++ b/core/amrgossip/spreader.go
@@ -46,6 +46,7 @@
 	begunFact
 	doneFact
 	failedFact
+	partFact
 )
 
 // queuedFact is a fact that is still to be passed on.
@@ -133,6 +134,9 @@
 	for _, p := range f.Progress {
 		items = append(items, p.items()...)
 	}
+	for _, n := range f.Parts {
+		items = append(items, item{factKey{partFact, n.Part, [2]uint64{uint64(n.Kind), uint64(n.Sequence)}}, Facts{Parts: []PartNotice{n}}})
+	}
 	return items
 }
 
@@ -161,6 +165,7 @@
 func (f Facts) with(other Facts) Facts {
 	f.Leaving = append(f.Leaving, other.Leaving...)
 	f.Strikes = append(f.Strikes, other.Strikes...)
+	f.Parts = append(f.Parts, other.Parts...)
 	for _, p := range other.Progress {
 		i := slices.IndexFunc(f.Progress, func(q Progress) bool {
 			return q.RowEra == p.RowEra && q.RowVersion == p.RowVersion && q.Model == p.Model && q.Version == p.Version
@@ -177,5 +182,5 @@
 
 // Empty reports whether there are no facts.
 func (f Facts) Empty() bool {
-	return len(f.Leaving)+len(f.Strikes)+len(f.Progress) == 0
+	return len(f.Leaving)+len(f.Strikes)+len(f.Progress)+len(f.Parts) == 0
 }
--- a/core/amrgossip/spreader_test.go
+++ b/core/amrgossip/spreader_test.go
@@ -84,9 +84,13 @@
 	is.True(s.Add(Facts{Progress: []Progress{done}}).Empty()) // It holds the weights, whatever the row.
 	strikes := []Strike{{Fingerprint: [16]byte{1}, Server: 5, Sequence: 1}, {Fingerprint: [16]byte{1}, Server: 5, Sequence: 2}, {Fingerprint: [16]byte{1}, Cleared: true, Sequence: 3}}
 	is.Equal(s.Add(Facts{Strikes: strikes}).Strikes, strikes)
+	notices := []PartNotice{{Kind: PartAsked, Part: 5, Sequence: 1}, {Kind: PartQuarantined, Part: 5, Sequence: 1}, {Kind: PartQuarantined, Part: 5, Sequence: 2}}
+	is.Equal(s.Add(Facts{Parts: notices}).Parts, notices)
+	is.True(s.Add(Facts{Parts: notices}).Empty())
 	next := s.Next()
 	is.Equal(len(next.Progress), 2)
 	is.Equal(next.Strikes, strikes)
+	is.Equal(next.Parts, notices)
 	for range fanout - 1 {
 		is.Equal(s.Next(), next)
 	}
--- a/core/amrreason/reason.go
+++ b/core/amrreason/reason.go
@@ -28,6 +28,7 @@
 	EngineLost             Code = "engine-lost"
 	CrashSuspect           Code = "crash-suspect"
 	Quarantined            Code = "quarantined"
+	QuarantinedPart        Code = "quarantined-part"
 	IdempotencyKeyRequired Code = "idempotency-key-required"
 	IdempotencyKeyReused   Code = "idempotency-key-reused"
 	LedgerUnavailable      Code = "ledger-unavailable"
@@ -78,6 +79,7 @@
 	{EngineLost, RunUnknown, http.StatusBadGateway, "The backend server was lost while the request ran.", "Send it again with the same idempotency key."},
 	{CrashSuspect, NotRun, http.StatusServiceUnavailable, "A backend server crashed while it ran this request, which now runs only alone, once at a time.", "Send it again after the time in Retry-After."},
 	{Quarantined, NotRun, http.StatusUnprocessableEntity, "The request was running on two backend servers when they crashed.", "Change the request, or ask an operator to lift the quarantine."},
+	{QuarantinedPart, NotRun, http.StatusServiceUnavailable, "Backend servers crashed while they ran different prompts that have a part in common with this one.", "Send it without that part, or again after the time in Retry-After."},
 	{IdempotencyKeyRequired, NotRun, http.StatusBadRequest, "A non-idempotent request needs an idempotency key.", "Send it with an Idempotency-Key header."},
 	{IdempotencyKeyReused, NotRun, http.StatusConflict, "The idempotency key was used for another request.", "Use a new key for a new request."},
 	{LedgerUnavailable, RunUnknown, http.StatusServiceUnavailable, "The table service that keeps non-idempotent work from running twice is out.", "Send it again with the same key after the time in Retry-After."},
--- a/core/amrsuspect/fingerprint.go
+++ b/core/amrsuspect/fingerprint.go
@@ -66,6 +66,11 @@
 	return f, true
 }
 
+// Hash returns a shorter identification of the fingerprint.
+func (f Fingerprint) Hash() uint64 {
+	return binary.BigEndian.Uint64(f[:])
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -324,7 +324,7 @@
 }
 
 // crashTime is the time after a crash for which a server rejects all requests.
-const crashTime = 100 * time.Millisecond
+const crashTime = time.Second
 
 // crashesServer reports whether a part of the prompt, other than the last one,
 // crashes servers.
