Serve the counter of quarantined parts from the start

TestMetrics wants every metric that OPERATIONS.md names to be served by a router that has decided nothing yet.

--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -22,6 +22,13 @@
 	quarantines        *prometheus.CounterVec
 }
 
+// Changes of quarantines, as a label of their metric.
+const (
+	quarantineDecided  = "decided"
+	quarantineLifted   = "lifted"
+	quarantineReceived = "received"
+)
+
 // NewMetrics returns metrics and registers them with the registerer unless that
 // is nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
@@ -36,6 +43,9 @@
 		endsWithConnection: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_answers_ended_by_connection_total", Help: "Answers with neither a length nor chunks, by pool and result of the send."}, []string{"pool", "result"}),
 		quarantines:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "amr_part_quarantines_total", Help: "Quarantines of parts of prompts that this router has decided, lifted or received."}, []string{"change"}),
 	}
+	for _, change := range []string{quarantineDecided, quarantineLifted, quarantineReceived} {
+		m.quarantines.WithLabelValues(change) // Served from the start.
+	}
 	if registerer != nil {
 		registerer.MustRegister(m.requests, m.sends, m.wait, m.firstByte, m.duration, m.endsWithConnection, m.quarantines)
 	}
--- a/core/amrforward/parts.go
+++ b/core/amrforward/parts.go
@@ -143,7 +143,7 @@
 		}
 		if quarantine != nil {
 			f.log.Warn("part of prompts is quarantined, since servers crash with it", "part", partName(quarantine.Part), "level", quarantine.Level, "was-sound", quarantine.Sound)
-			f.metrics.quarantines.WithLabelValues("decided").Inc()
+			f.metrics.quarantines.WithLabelValues(quarantineDecided).Inc()
 			f.notifyPart(amrgossip.PartNotice{Kind: amrgossip.PartQuarantined, Model: c.Model, Part: uint64(quarantine.Part), Level: quarantine.Level, Sound: quarantine.Sound})
 			f.storePartChange(PartChange{PartQuarantine: *quarantine})
 		}
@@ -158,7 +158,7 @@
 			continue
 		}
 		f.log.Info("quarantine of a part of prompts is lifted, since a prompt with it was answered", "part", partName(part), "answered-ms-ago", p.AgeMS)
-		f.metrics.quarantines.WithLabelValues("lifted").Inc()
+		f.metrics.quarantines.WithLabelValues(quarantineLifted).Inc()
 		f.notifyPart(amrgossip.PartNotice{Kind: amrgossip.PartLifted, Model: p.Model, Part: p.Part})
 		f.storePartChange(PartChange{PartQuarantine: amrsuspect.PartQuarantine{Part: part}, Lifted: true})
 	}
@@ -192,7 +192,7 @@
 func (f *Forwarder) ApplyQuarantine(q amrsuspect.PartQuarantine) {
 	if f.parts.Apply(q) {
 		f.log.Info("part of prompts is quarantined, as another router has decided", "part", partName(q.Part), "level", q.Level, "since", q.Since.UTC())
-		f.metrics.quarantines.WithLabelValues("received").Inc()
+		f.metrics.quarantines.WithLabelValues(quarantineReceived).Inc()
 	}
 }
 
