--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -64,6 +64,23 @@
 	return r.Route == StreamRoute || r.Route == ResumableStreamRoute
 }
 
+// CrashingPart returns the ID of the part of the prompt that crashes servers, or "".
+func (r Request) CrashingPart() string {
+	return crashingPart(r.PromptParts)
+}
+
+// crashingPart returns the ID of the first part of "ID:TOKENS,..." that crashes
+// servers, or "". The last part does not.
+func crashingPart(promptParts string) string {
+	parts := strings.Split(promptParts, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); strings.HasPrefix(id, CrashingPart) {
+			return id
+		}
+	}
+	return ""
+}
+
 // Repeatable reports whether a router may run the request more than once.
 func (r Request) Repeatable() bool {
 	return r.Route == IdempotentRoute || r.Route == ResumableStreamRoute
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -314,7 +313,7 @@
 		s.dribble(w, r)
 	case s.Model == "":
 		s.respond(w, fault)
-	case crashesServer(r):
+	case crashingPart(r.Header.Get("Amaranthreach-Prefix-Hash")) != "":
 		s.clock.Sleep(s.pause)
 		s.crash()
 		panic(http.ErrAbortHandler)
@@ -326,13 +325,6 @@
 // crashTime is the time after a crash for which a server rejects all requests.
 const crashTime = time.Second
 
-// crashesServer reports whether a part of the prompt, other than the last one,
-// crashes servers.
-func crashesServer(r *http.Request) bool {
-	parts := strings.Split(r.Header.Get("Amaranthreach-Prefix-Hash"), ",")
-	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return strings.HasPrefix(part, CrashingPart) })
-}
-
 // crash breaks off all responses in progress.
 func (s *Server) crash() {
 	s.mu.Lock()
--- a/standin/amrsoak/checker.go
+++ b/standin/amrsoak/checker.go
@@ -46,6 +46,7 @@
 
 const (
 	quarantineCrashes = 3 // Number of crashes after which a request must be quarantined.
+	partCrashes       = 5 // Number of crashes after which a part of prompts must be quarantined.
 	maxLateRuns       = 3 // Number of runs that are allowed after the quarantine should be in force.
 )
 
@@ -74,10 +75,10 @@
 }
 
 // poisonState is the observed state of a poison request, which is a request that
-// crashes each server that runs it.
+// crashes each server that runs it, or of the requests with a part that does.
 type poisonState struct {
 	crashes        int
-	quarantineTime time.Time // Time of crash number quarantineCrashes.
+	quarantineTime time.Time // Time of the crash after which it must be quarantined.
 	lateRuns       int       // Runs of requests sent to an undisturbed router more than the settle time after quarantineTime.
 }
 
@@ -102,7 +103,7 @@
 	requests         map[string]*trackedRequest // By request ID.
 	keyChanges       []keyChange                // Changes of revocableKey, oldest first.
 	drainStarts      map[string]time.Time       // Times at which draining servers began to drain, by server name.
-	poisons          map[string]*poisonState    // By the value of Request.Poison.
+	poisons          map[string]*poisonState    // By the value of Request.Poison or Request.CrashingPart.
 	leaving          map[link]time.Time         // When a router passed on an answer of a leaving server.
 	pauses           map[link]*pause            // The last pause that a server asked a router for.
 	violations       []Violation
@@ -230,9 +231,13 @@
 	}
 }
 
-// checkPoison checks that a poison request is quarantined.
+// checkPoison checks that a poison request, or a part that crashes servers, is
+// quarantined.
 func (c *Checker) checkPoison(tracked *trackedRequest, now time.Time) {
-	name := tracked.request.Poison
+	name, limit := tracked.request.Poison, quarantineCrashes
+	if name == "" {
+		name, limit = tracked.request.CrashingPart(), partCrashes
+	}
 	if name == "" {
 		return
 	}
@@ -242,10 +247,10 @@
 		c.poisons[name] = p
 	}
 	p.crashes++
-	if p.crashes == quarantineCrashes {
+	if p.crashes == limit {
 		p.quarantineTime = now
 	}
-	late := p.crashes > quarantineCrashes && tracked.sent.After(p.quarantineTime.Add(c.timeLimits.settle))
+	late := p.crashes > limit && tracked.sent.After(p.quarantineTime.Add(c.timeLimits.settle))
 	if !late || !c.disturbances.undisturbed(tracked.router, tracked.sent.Add(-c.timeLimits.settle), now) {
 		return
 	}
--- a/standin/amrsoak/checker_test.go
+++ b/standin/amrsoak/checker_test.go
@@ -121,6 +121,14 @@
 				s.tracked.sent = s.clock.Now()
 			}
 		}},
+		{"part that crashes servers and is not quarantined", amrsite.ResumableStreamRoute, permanentKey, "quarantine", func(s *checkerTest) {
+			s.tracked.request.PromptParts = "1:800," + amrsite.CrashingPart + "1:410,2:250"
+			for range partCrashes + maxLateRuns + 1 {
+				s.run("a")
+				s.clock.Advance(4 * time.Second)
+				s.tracked.sent = s.clock.Now()
+			}
+		}},
 		{"two holders with the same fence", amrsite.IdempotentRoute, permanentKey, "one holder", func(s *checkerTest) {
 			s.checkOrders("e", []amrsite.Order{{Holder: "a", Fence: 1, At: s.clock.Now()}, {Holder: "b", Fence: 1, At: s.clock.Now().Add(time.Minute)}})
 		}},
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -25,6 +25,8 @@
 	maxClockOffset      = 2 * time.Minute         // Largest offset of the store's clock, in either direction.
 	poisonRepeats       = 12                      // Number of times that a poison request is sent.
 	poisonInterval      = 500 * time.Millisecond  // Pause after each of them.
+	partRepeats         = 30                      // Number of requests with a part that crashes servers.
+	partInterval        = 300 * time.Millisecond  // Pause after each of them.
 	allRoutersOdds      = 4                       // On average, at least one in this many seeds lets faults disturb every router.
 )
 
@@ -57,6 +59,7 @@
 	serverTellsLeaving  faultKind = "server-tells-leaving" // A backend server tells in its responses that it is leaving, and restarts.
 	serverAsksPause     faultKind = "server-asks-pause"    // A backend server rejects requests and asks for no more of them.
 	serverNoLength      faultKind = "server-no-length"     // A backend server ends its responses, whole or inside an event, only with the connection.
+	crashingPart        faultKind = "crashing-part"        // Different requests are sent that have a part in common which crashes backend servers.
 	serverEndless       faultKind = "server-endless"       // A backend server sends bytes that are no response, without end.
 )
 
@@ -67,6 +70,7 @@
 	killRouter, killAllRouters, stopRouter, pauseRouter, hangUp, callersLink, storeLink, serverLink, storeDown, storeLosesAnswers,
 	storeForgetsHistory, storeClock, storeInvalidRows, serverErrors, serverDrains, serverCrashes, revokeKey, newWeights,
 	poisonRequest, peersLink, storeRestored, serverTellsLeaving, serverAsksPause, serverEndless, serverNoLength,
+	crashingPart,
 }
 
 // fault is one fault of a soak test. Only some of its fields apply to each kind.
@@ -212,6 +216,8 @@
 		s.drainServer(b, f.Length)
 	case serverCrashes:
 		s.crashServer(b, f.Length)
+	case crashingPart:
+		s.sendCrashingPart(fmt.Sprint(f.At.Nanoseconds()))
 	case poisonRequest:
 		s.sendPoison(f.At.String())
 	case revokeKey:
@@ -328,6 +334,19 @@
 	}
 }
 
+// sendCrashingPart sends requests that differ in all but a part that crashes each
+// engine which begins to respond, to one router after the other.
+func (s *site) sendCrashingPart(name string) {
+	for i := range partRepeats {
+		id := fmt.Sprintf("part-%s-%d-%d", name, s.clock.Now().UnixNano(), i)
+		s.send(s.routers[i%len(s.routers)], amrsite.Request{
+			ID: id, Route: amrsite.ResumableStreamRoute, Key: permanentKey, Model: modelName, Timeout: requestTimeout,
+			PromptParts: fmt.Sprintf("%08x:800,%s%s:410,%s:250", 0, amrsite.CrashingPart, name, id), Content: id,
+		})
+		s.clock.Sleep(partInterval)
+	}
+}
+
 // revokeKeyFor revokes revocableKey and restores it after the duration and the
 // time limit for new records.
 func (s *site) revokeKeyFor(d time.Duration) {
