Write quarantined parts again when the store has lost them

The row was gone, and a change was given up after 5 s without the store. Now a change is retried until it is written, and after a restore each router writes the quarantines that it knows and the table lacks, at a time of its own. TestQuarantineOutlivesRouter restores the store from a copy without the row; it waited in vain for the row before.

--- a/core/amrdirect/quarantines.go
+++ b/core/amrdirect/quarantines.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -27,10 +28,6 @@
 	// Further ones are not written, and routers that start then learn of them from
 	// crashes.
 	maxQuarantineChanges = 64
-
-	// quarantineAttempts is the number of times that a change is written before it
-	// is given up.
-	quarantineAttempts = 10
 )
 
 // quarantineRow is the value of the row of a quarantined part.
@@ -72,11 +69,11 @@
 	}
 }
 
-// write writes a change. It retries some times if the write fails.
+// write writes a change. It retries until the write has succeeded or ctx is done.
 func (q *quarantines) write(ctx context.Context, c amrforward.PartChange) {
 	r := q.router
-	txn := q.txn(c)
-	for range quarantineAttempts {
+	for ctx.Err() == nil {
+		txn := q.txn(c)
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := r.deps.Rows.Write(callCtx, txn)
 		cancel()
@@ -89,7 +86,6 @@
 			return
 		}
 	}
-	r.log.Error("change of a quarantined part is not written; routers that start will not know of it", "row", rowKey(c.Part), "lifted", c.Lifted)
 }
 
 // txn returns the transaction for a change. A new quarantine also deletes the rows that
@@ -121,9 +117,14 @@
 }
 
 // applyShared applies changed rows of the shared table. A row that is missing after
-// the table was restored from an older copy does not lift the quarantine.
+// the table was restored from an older copy does not lift the quarantine, but is
+// written again, by each router at another time unless one has already done so.
 func (q *quarantines) applyShared(u amrfollow.Update) {
 	r := q.router
+	if u.Restored {
+		spread := time.Duration(r.routers.Load()) * registerSpread
+		r.clock.AfterFunc(time.Duration(rand.Int64N(int64(spread))), q.restore)
+	}
 	now := r.clock.Now()
 	for _, row := range u.Rows {
 		part, ok := partOfRow(row.Key)
@@ -143,6 +144,16 @@
 	}
 }
 
+// restore writes the quarantines again that the shared table has lost.
+func (q *quarantines) restore() {
+	rows := q.router.copies.Followers[tableShared].Copy()
+	for _, known := range q.router.forward.Quarantines() {
+		if _, ok := rows.Row(rowKey(known.Part)); !ok {
+			q.store(amrforward.PartChange{PartQuarantine: known})
+		}
+	}
+}
+
 // decode decodes the row of a quarantined part. It logs a value that it cannot decode.
 func (q *quarantines) decode(row amrfollow.Row) (quarantineRow, bool) {
 	var state quarantineRow
--- a/core/amrforward/parts.go
+++ b/core/amrforward/parts.go
@@ -196,6 +196,11 @@
 	}
 }
 
+// Quarantines returns the quarantines of parts that this router knows.
+func (f *Forwarder) Quarantines() []amrsuspect.PartQuarantine {
+	return f.parts.Quarantines()
+}
+
 // LiftQuarantine ends the quarantine of a part, as another router has decided.
 func (f *Forwarder) LiftQuarantine(part amrsuspect.PartKey) {
 	if f.parts.Lift(part) {
--- a/core/amrsuspect/parts.go
+++ b/core/amrsuspect/parts.go
@@ -257,6 +257,18 @@
 	return true
 }
 
+// Quarantines returns the quarantines that are known, also those after which no
+// request has been answered yet.
+func (p *Parts) Quarantines() []PartQuarantine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var quarantines []PartQuarantine
+	for _, s := range p.quarantines.Values() {
+		quarantines = append(quarantines, s.PartQuarantine)
+	}
+	return quarantines
+}
+
 // Lift ends the quarantine of the part. It reports whether there was one.
 func (p *Parts) Lift(part PartKey) bool {
 	p.mu.Lock()
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -316,7 +317,7 @@
 	case crashingPart(r.Header.Get("Amaranthreach-Prefix-Hash")) != "":
 		s.clock.Sleep(s.pause)
 		s.crash()
-		panic(http.ErrAbortHandler)
+		reset(w)
 	default:
 		s.stream(w, r, fault, crashes)
 	}
@@ -333,6 +334,16 @@
 	s.crashedAt = s.clock.Now()
 }
 
+// reset resets the connection of the response, so that a response without a length
+// does not look complete, and ends the handler.
+func reset(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0) // Returns an error only if the connection is closed.
+		_ = conn.Close()                     // The same.
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Crashes returns the number of crashes so far.
 func (s *Server) Crashes() int {
 	s.mu.Lock()
@@ -474,7 +485,7 @@
 		_ = http.NewResponseController(w).Flush() // The client detects an error.
 		s.clock.Sleep(s.pause)
 		if s.Crashes() != crashes {
-			panic(http.ErrAbortHandler)
+			reset(w)
 		}
 		if id != s.events/2 || fault != FaultTruncate && fault != FaultNoLengthTruncate {
 			continue
