Select a server without the coordinator when that knows none

A coordinator that does not find the pool or the model among its own records replies that there is no server, and the asker refused its caller without looking at the servers that it knows itself. The same would happen while two routers have records of different versions. Now the asker selects a server itself, as when there is no reply, logs it and counts it (how=unknown). TestCoordinatorWithOtherRecords failed before: no-server.

--- a/core/amrcoord/metrics.go
+++ b/core/amrcoord/metrics.go
@@ -7,6 +7,7 @@
 	placedOwn      = "own"      // By this router, which is the coordinator or works alone.
 	placedAsked    = "asked"    // By another router.
 	placedDenied   = "denied"   // Not at all.
+	placedUnknown  = "unknown"  // By the router itself, as the coordinator knows no server.
 	placedDeclined = "declined" // By another router, at a server that this router knows must not get the request.
 	placedNoReply  = "no-reply" // By this router with what it knows.
 )
@@ -27,7 +28,7 @@
 		spilled:    prometheus.NewCounter(prometheus.CounterOpts{Name: "amr_placements_spilled_total", Help: "Requests for which the second group was asked because the first was busy."}),
 		replyTime:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "amr_placement_reply_seconds", Help: "Time from a query to its reply.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 8)}),
 	}
-	for _, how := range []string{placedOwn, placedAsked, placedDenied, placedDeclined, placedNoReply} { // So that they are served before the first placement.
+	for _, how := range []string{placedOwn, placedAsked, placedDenied, placedUnknown, placedDeclined, placedNoReply} { // So that they are served before the first placement.
 		m.placements.WithLabelValues(how)
 	}
 	if registerer != nil {
--- a/core/amrcoord/placer.go
+++ b/core/amrcoord/placer.go
@@ -181,8 +181,8 @@
 	return a
 }
 
-// pickFrom selects a server of the group. If the coordinator does not reply, or this
-// router knows that the servers which it selects must not get the request, the router
+// pickFrom selects a server of the group. If the coordinator does not reply or knows no
+// server, or this router knows that the servers which it selects must not get the request, the router
 // decides itself.
 func (p *Placer) pickFrom(ctx context.Context, r amrpool.Request, g amrpool.Group, timeLeft time.Duration) (*amrpool.Choice, amrpool.Denial) {
 	r.Group = g
@@ -210,8 +210,14 @@
 			break
 		}
 		if reply.Denial != 0 {
+			denial := denialOf(reply, p.fleet.NameOf)
+			if denial.Reason == amrpool.NoServer { // Its records may be others than those of this router.
+				p.metrics.placements.WithLabelValues(placedUnknown).Inc()
+				p.log.Warn("coordinator knows no server for a request; selecting one without it", "host-id", host, "pool", r.Pool, "model", r.Model)
+				break
+			}
 			p.metrics.placements.WithLabelValues(placedDenied).Inc()
-			return nil, denialOf(reply, p.fleet.NameOf)
+			return nil, denial
 		}
 		choice := p.assign(r, reply, messenger, host)
 		if choice != nil {
--- a/core/amrcoord/placer_test.go
+++ b/core/amrcoord/placer_test.go
@@ -33,6 +33,8 @@
 	lossy   bool // Updates without a query are lost.
 	lose    int  // Queries that are still to be lost.
 	unsent  bool // Coordinators send no replies, because their budgets are used up.
+
+	unknown map[string]bool // Hosts whose records do not name the pool and the model.
 }
 
 // newNetwork returns a network of routers that all know the given number of servers.
@@ -40,6 +42,7 @@
 	n := &network{
 		clock: clockwork.NewFakeClock(), placers: make(map[amrgossip.HostID]*Placer),
 		silent: make(map[amrgossip.HostID]bool), queries: make(map[amrgossip.HostID]int),
+		unknown: make(map[string]bool),
 	}
 	var all []Router
 	for i := range routers {
@@ -54,7 +57,7 @@
 				Name: fmt.Sprint("e", i), Pool: testPool, Address: fmt.Sprint("e", i), Slots: 32, Weights: map[string]int{testModel: 1},
 			})
 		}
-		p := New(host, fleet, names{}, n.clock, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+		p := New(host, fleet, names{n, host}, n.clock, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 		p.SetRouters(all)
 		p.SetMessenger(endpoint{n, amrgossip.IDOf(host)})
 		n.placers[p.host] = p
@@ -62,11 +65,21 @@
 	return n
 }
 
-// names are the names in the records.
-type names struct{}
+// names are the names in the records of a router.
+type names struct {
+	network *network
+	host    string
+}
+
+func (n names) Pools() []string  { return n.known(testPool) }
+func (n names) Models() []string { return n.known(testModel) }
 
-func (names) Pools() []string  { return []string{testPool} }
-func (names) Models() []string { return []string{testModel} }
+func (n names) known(name string) []string {
+	if n.network.unknown[n.host] {
+		return nil
+	}
+	return []string{name}
+}
 
 // endpoint is the Messenger of a router.
 type endpoint struct {
@@ -318,6 +331,25 @@
 	is.NoErr(group.Wait())
 }
 
+// TestCoordinatorWithOtherRecords guards against refusing the callers of a router
+// because the coordinator, whose records are older or newer, does not know the pool or
+// the model of the request, while the router itself knows servers for it.
+func TestCoordinatorWithOtherRecords(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(2, 3)
+	for _, host := range n.hosts {
+		n.unknown[host] = true
+	}
+	for i := range n.hosts {
+		choice, denial := n.pick(t, i, request("catalogue", 1000))
+		if choice == nil {
+			t.Fatalf("%s: %v", n.hosts[i], denial)
+		}
+		choice.Done(n.clock.Now(), amrpool.Completed)
+	}
+	is.Equal(len(n.queries), 1) // One of them asked the other one.
+}
+
 // TestLateReply checks that a request which was placed too late does not count at the
 // coordinator.
 func TestLateReply(t *testing.T) {
