--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -91,10 +91,15 @@
 	Status int
 	Stamp  string // Value of the header with the server's stamp; empty for responses of the router itself.
 	Header http.Header
-	Body   string // The part of the body that was received.
+	Body   string // The part of the body that was received, up to maxBodyKept bytes.
 	Err    error  // Error while the body was read, or nil.
 }
 
+// maxBodyKept is the number of bytes of a body that are kept, which is more than any
+// complete response has. To keep an endless body would take longer than to receive it,
+// so that it would seem to end late.
+const maxBodyKept = 1 << 20
+
 // Send sends the request to the router at the address and reads the response. It
 // returns an error if it did not receive the header of a response; an error in the
 // body is part of the Response.
@@ -108,7 +113,10 @@
 		return Response{}, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyKept))
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
 	return Response{
 		Status: response.StatusCode, Stamp: response.Header.Get("Amaranthreach-Server-Stamp"),
 		Header: response.Header, Body: string(body), Err: err,
