Do not let reminders prolong the quarantine of a request

Sound requests with the same content got three strikes while other requests crashed their servers, and were still refused 40 s later, with a last strike 0.6 s ago: routers that refuse a request remind each other of its last strike once a second, and each reminder counted as a new strike, as long as callers came back. A reported strike for a server of which one is known no longer counts. TestRemindersEnd failed before.

--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -121,7 +121,7 @@
 			f.strikes.Clear(fingerprint)
 			continue
 		}
-		if f.strikes.Add(now, fingerprint, s.Server) == 0 {
+		if f.strikes.AddReported(now, fingerprint, s.Server) == 0 {
 			f.reportStrike(amrgossip.Strike{Fingerprint: s.Fingerprint, Cleared: true}, amrsuspect.MaxStrikes)
 		}
 	}
--- a/core/amrsuspect/strikes.go
+++ b/core/amrsuspect/strikes.go
@@ -67,6 +67,18 @@
 // runs of the request that broke off in the same crash count as one strike. Add
 // returns 0, and adds no strike, if the request has completed shortly before.
 func (s *Strikes) Add(now time.Time, f Fingerprint, server uint64) int {
+	return s.add(now, f, server, sameCrashTime)
+}
+
+// AddReported is like Add for a strike that another router has reported. It adds none
+// if one for the same server is known: routers repeat the last strike of a request that
+// they refuse, which must not prolong its quarantine.
+func (s *Strikes) AddReported(now time.Time, f Fingerprint, server uint64) int {
+	return s.add(now, f, server, StrikeTTL)
+}
+
+// add adds a strike unless there is one for the same server within the given time.
+func (s *Strikes) add(now time.Time, f Fingerprint, server uint64, sameTime time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if last, ok := s.lastSuccess.Peek(f); ok && now.Sub(last) < strikeFreeTime {
@@ -76,7 +88,7 @@
 	if !unexpired(now, strikes) {
 		strikes = nil
 	}
-	if slices.ContainsFunc(strikes, func(k strike) bool { return k.server == server && now.Sub(k.at) < sameCrashTime }) {
+	if slices.ContainsFunc(strikes, func(k strike) bool { return k.server == server && now.Sub(k.at) < sameTime }) {
 		return len(strikes)
 	}
 	strikes = append(strikes, strike{server: server, at: now})
--- a/core/amrsuspect/strikes_test.go
+++ b/core/amrsuspect/strikes_test.go
@@ -101,3 +101,28 @@
 	here.Clear(f)
 	is.True(here.QuarantineRemaining(now, f) == 0)
 }
+
+// TestRemindersEnd guards against a quarantine without end: routers that refuse a
+// request remind each other of its last strike, and each reminder counted as a new one.
+func TestRemindersEnd(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	here, there := amrsuspect.NewStrikes(), amrsuspect.NewStrikes()
+	f := amrsuspect.FingerprintOf("recife", "/x", "popular")
+	for server := range uint64(amrsuspect.MaxStrikes) {
+		here.Add(now, f, server)
+		there.AddReported(now, f, server)
+	}
+	for end := now.Add(amrsuspect.StrikeTTL); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		is.True(here.QuarantineRemaining(now, f) > 0)
+		is.True(there.QuarantineRemaining(now, f) > 0)
+		if server, ok := here.NextReminder(now, f); ok {
+			there.AddReported(now, f, server)
+		}
+		if server, ok := there.NextReminder(now, f); ok {
+			here.AddReported(now, f, server)
+		}
+	}
+	is.True(here.QuarantineRemaining(now, f) == 0)
+	is.True(there.QuarantineRemaining(now, f) == 0)
+}
