--- a/core/amrforward/parts.go
+++ b/core/amrforward/parts.go
@@ -142,6 +142,7 @@
 			f.notifyPart(amrgossip.PartNotice{Kind: amrgossip.PartAsked, Model: c.Model, Part: uint64(part)})
 		}
 		if quarantine != nil {
+			f.forgetExplainedStrikes(*quarantine)
 			f.log.Warn("part of prompts is quarantined, since servers crash with it", "part", partName(quarantine.Part), "level", quarantine.Level, "was-sound", quarantine.Sound)
 			f.metrics.quarantines.WithLabelValues(quarantineDecided).Inc()
 			f.notifyPart(amrgossip.PartNotice{Kind: amrgossip.PartQuarantined, Model: c.Model, Part: uint64(quarantine.Part), Level: quarantine.Level, Sound: quarantine.Sound})
@@ -191,6 +192,7 @@
 // ApplyQuarantine puts a quarantine in force that another router has decided.
 func (f *Forwarder) ApplyQuarantine(q amrsuspect.PartQuarantine) {
 	if f.parts.Apply(q) {
+		f.forgetExplainedStrikes(q)
 		f.log.Info("part of prompts is quarantined, as another router has decided", "part", partName(q.Part), "level", q.Level, "since", q.Since.UTC())
 		f.metrics.quarantines.WithLabelValues(quarantineReceived).Inc()
 	}
@@ -201,6 +203,18 @@
 	return f.parts.Quarantines()
 }
 
+// explainedTime is the time before the quarantine of a part in which crashes of servers
+// are attributed to the part.
+const explainedTime = 10 * time.Second
+
+// forgetExplainedStrikes removes the strikes that requests got when prompts with the
+// part crashed the servers that were running them, too.
+func (f *Forwarder) forgetExplainedStrikes(q amrsuspect.PartQuarantine) {
+	if q.Level == 1 { // Later ones follow a single crash.
+		f.strikes.ForgetSince(q.Since.Add(-explainedTime))
+	}
+}
+
 // LiftQuarantine ends the quarantine of a part, as another router has decided.
 func (f *Forwarder) LiftQuarantine(part amrsuspect.PartKey) {
 	if f.parts.Lift(part) {
--- a/core/amrsuspect/strikes.go
+++ b/core/amrsuspect/strikes.go
@@ -128,6 +128,22 @@
 	s.byFingerprint.Remove(f)
 }
 
+// ForgetSince removes the strikes of all requests since the given time, because another
+// cause of those crashes has been found.
+func (s *Strikes) ForgetSince(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.byFingerprint.Keys() {
+		strikes, _ := s.byFingerprint.Peek(f)
+		kept := slices.DeleteFunc(slices.Clone(strikes), func(k strike) bool { return !k.at.Before(at) })
+		if len(kept) == 0 {
+			s.byFingerprint.Remove(f)
+			continue
+		}
+		s.byFingerprint.Add(f, kept)
+	}
+}
+
 // QuarantineRemaining returns the time for which the request remains
 // quarantined, or 0 if it is not quarantined.
 func (s *Strikes) QuarantineRemaining(now time.Time, f Fingerprint) time.Duration {
