--- a/standin/amrreplay/replay_test.go
+++ b/standin/amrreplay/replay_test.go
@@ -61,6 +61,7 @@
 	requests := recordedRequests(t, amrtrace.Mandacaru, 2400*ms, 4800*ms)
 	replay := New(requests, WithEngines(12), WithRouters(2), WithTimeScale(4))
 	result := runLenient(t, replay, "cache-aware")
+	t.Logf("refusals by reason %v, requests sent up to %v late", result.Details.Refusals, result.Details.DispatchLateness)
 	is.Equal(result.Requests, len(requests))
 	is.Equal(result.Answered, len(requests))
 	is.Equal(result.Lost, 0)
