Do not claim that a request did not run when its deadline passes in a pause

A request whose first attempt may have run and whose second one was declined pauses until servers become ready. The relay, which knows of all attempts, now decides, as it does when the deadline has passed before an attempt. TestDeadlineWhileWaiting failed before: not-run, where unknown is true.

--- a/router/amrrouter/session_wait.go
+++ b/router/amrrouter/session_wait.go
@@ -7,6 +7,7 @@
 
 	"amaranthreach.example/core/amrmember"
 	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrstream"
 )
 
 const (
@@ -100,7 +101,7 @@
 		s.request.selectWeights(s.router.membership.view(s.request.records), s.selector.excluded)
 		return true
 	case <-s.deadlineTimer.Chan():
-		s.finalRefusal = newRefusal(amrreason.DeadlineExceeded, "").withRan(amrreason.NotRun)
+		s.stepRelay(amrstream.NotResumed{Reason: amrreason.DeadlineExceeded, Ran: amrreason.NotRun}) // The relay knows whether an earlier attempt may have run.
 	case <-ctx.Done():
 		s.finalRefusal = newRefusal(amrreason.Canceled, "")
 	}
