--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,6 +30,9 @@
 // errCallerGone reports that the answer could not be written to the caller.
 var errCallerGone = errors.New("caller disconnected")
 
+// errNotResumed reports that a server did not continue a stream, but answered.
+var errNotResumed = errors.New("the server did not resume the stream")
+
 // relayAnswer copies the answer to the caller. It reports whether the request
 // is done, and returns its refusal, which is nil if the answer was complete. An
 // answer with a server error, or one that breaks off before the caller has
@@ -58,7 +62,9 @@
 	}
 	x.excluded = append(x.excluded, choice.Name)
 	x.recordSend(choice, start, amrpool.Failed, err.Error())
-	x.updateStrikes(x.f.clock.Now(), choice.Name, amrpool.Failed)
+	if !errors.Is(err, errNotResumed) {
+		x.updateStrikes(x.f.clock.Now(), choice.Name, amrpool.Failed)
+	}
 	if x.headerWritten && !x.canResume() {
 		return true, x.refusal(amrreason.EngineLost, 0, "the answer was truncated")
 	}
@@ -96,7 +102,7 @@
 func (x *exchange) copyAnswer(a *Answer) error {
 	if x.headerWritten {
 		if a.Status != http.StatusOK {
-			return errors.New("cannot resume the stream: status " + strconv.Itoa(a.Status))
+			return fmt.Errorf("%w: status %d", errNotResumed, a.Status)
 		}
 		return x.copyStream(a)
 	}
