Send no requests to a server that is listed while its weights change

The fleet now keeps the announced changes of servers that are not listed yet, until the row or the lease holder says that they have ended. The script listed-late picked the server before.

--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -36,7 +36,8 @@
 	leaving      []LeavingServer // Leaving servers that the other routers must be told of.
 	store        storeIndex
 	common       commonParts
-	changesRow   RowPosition // Position of the shared row from which the changes in progress were set.
+	changes      map[string]WeightsChange // Changes in progress by server name, also of servers that are not listed yet.
+	changesRow   RowPosition              // Position of the shared row from which the changes in progress were set.
 
 	staleAfter time.Duration // Age of a newer declared version from which servers with older weights are penalized.
 	staleLimit time.Duration // Age of a newer declared version from which servers with older weights are not used.
@@ -151,6 +152,7 @@
 		f.remove(s)
 	}
 	s = newServer(l, f.cacheTokens(l.Pool), f.signals)
+	s.change = f.changes[l.Name]
 	f.byName[l.Name] = s
 	f.byID[s.id] = s
 	f.pools[l.Pool] = append(f.pools[l.Pool], s)
@@ -338,7 +340,7 @@
 	if row.Compare(f.changesRow) < 0 {
 		return
 	}
-	f.changesRow = row
+	f.changes, f.changesRow = maps.Clone(changes), row
 	for name, s := range f.byName {
 		s.change, s.changeUntil = changes[name], time.Time{}
 	}
--- a/core/amrpool/rollout.go
+++ b/core/amrpool/rollout.go
@@ -1,6 +1,10 @@
 package amrpool
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // changeTTL is the time after which a change of weights that another router
 // announced, and whose end it did not announce, no longer keeps requests from the
@@ -32,6 +36,10 @@
 	if p.Row.Compare(f.changesRow) < 0 {
 		return
 	}
+	ended := slices.Concat(p.Done, p.Failed)
+	maps.DeleteFunc(f.changes, func(name string, c WeightsChange) bool {
+		return c.Version == p.Version && slices.Contains(ended, IDOf(name))
+	})
 	for _, id := range p.Begun {
 		if s := f.byID[id]; s != nil {
 			s.change = WeightsChange{Model: p.Model, Version: p.Version}
