Release the lease of orders after a renewal in flight; keep fencing tokens rising

The token now begins at the version of the item, which no token exceeds, and the router logs the item. TestResignDuringRenewal and TestUnreadableLease failed before.

--- a/core/amrorder/lease.go
+++ b/core/amrorder/lease.go
@@ -54,6 +54,7 @@
 	validUntil        time.Time
 	unresolvedSince   time.Time // When the first write with an unresolved outcome was sent; zero if there is none.
 	requiredVersion   uint64    // Item version that the last write requires.
+	releasing         bool      // The last write releases the lease.
 	resigning         bool
 	tookOver          bool
 	goal              string
@@ -198,7 +199,7 @@
 		l.scheduleNextRead(now)
 		return nil
 	}
-	value := decodeLease(e.Item.Value)
+	value, _ := decodeLease(e.Item) // The caller logs the error; see CheckLease.
 	if e.Item.Version != l.observed.Version {
 		l.observed = e.Item
 		l.observedAt = now
@@ -249,6 +250,7 @@
 		l.unresolvedSince = now
 	}
 	l.requiredVersion = l.observed.Version
+	l.releasing = value.Holder == ""
 	return WriteLease{Txn: amrplatform.Txn{
 		Checks: []amrplatform.Check{{Key: l.key, Version: l.observed.Version}},
 		Puts:   []amrplatform.Put{{Key: l.key, Value: value.encode()}},
@@ -257,15 +259,18 @@
 
 func (l *Lease) handleWritten(now time.Time, err error) LeaseAction {
 	switch {
-	case err == nil && l.resigning:
+	case err == nil && l.releasing:
 		l.fence = 0
 		l.unresolvedSince = time.Time{}
 	case err == nil:
 		if l.fence == 0 {
-			l.fence = decodeLease(l.observed.Value).Fence + 1
+			value, _ := decodeLease(l.observed) // The caller has logged the error.
+			l.fence = value.Fence + 1
 		}
 		l.extend()
-		l.scheduleNextRead(now)
+		if !l.resigning { // Otherwise the next LeaseTick releases the lease.
+			l.scheduleNextRead(now)
+		}
 	case errorx.IsOfType(err, amrplatform.Unavailable):
 		l.scheduleNextRead(now)
 	default: // After a conflict or an unknown outcome, the item shows the state of the lease.
@@ -311,16 +316,32 @@
 	return data
 }
 
-// decodeLease returns the value that the data encodes, or the zero value if the
-// data is empty.
-func decodeLease(data []byte) leaseValue {
+// decodeLease returns the value of the item, or the zero value if it has none. An
+// item that cannot be decoded counts as free, with a fencing token that is not below
+// any earlier one: each write raises the token by at most one and the version of the
+// item by at least one.
+func decodeLease(item amrplatform.Item) (leaseValue, error) {
+	if len(item.Value) == 0 {
+		return leaseValue{}, nil
+	}
 	var value leaseValue
-	_ = json.Unmarshal(data, &value) // An unreadable lease counts as free; the write still requires its version.
-	return value
+	if err := json.Unmarshal(item.Value, &value); err != nil {
+		return leaseValue{Fence: item.Version}, err
+	}
+	return value, nil
+}
+
+// CheckLease returns an error if the item that stores a Lease cannot be decoded. It
+// then counts as free.
+func CheckLease(item amrplatform.Item) error {
+	_, err := decodeLease(item)
+	return err
 }
 
-// LeaseFence returns the fencing token in an item that stores a Lease, or 0 for
-// an empty item.
+// LeaseFence returns the fencing token in an item that stores a Lease, or 0 for an
+// empty item. For one that cannot be decoded, it returns a token that is not below any
+// earlier one.
 func LeaseFence(item amrplatform.Item) uint64 {
-	return decodeLease(item.Value).Fence
+	value, _ := decodeLease(item) // The holder logs the error.
+	return value.Fence
 }
--- a/router/amrrouter/rollout.go
+++ b/router/amrrouter/rollout.go
@@ -197,6 +197,9 @@
 	switch a := action.(type) {
 	case amrorder.ReadLease:
 		item, err := r.table.Get(ctx, a.Key)
+		if badItem := amrorder.CheckLease(item); err == nil && badItem != nil {
+			r.log.Warn("cannot decode the rollout lease; it counts as free, check which process wrote it", "key", a.Key, "version", item.Version, "err", badItem)
+		}
 		return amrorder.LeaseRead{Item: item, Err: err}
 	case amrorder.WriteLease:
 		return amrorder.LeaseWritten{Err: r.table.Commit(ctx, a.Txn)}
