Forget only the strikes of servers that a quarantined part has crashed

The quarantine now names the servers whose crashes led to it, at most 12, and only strikes for these are removed. Messages with facts count long ones as several, so that they stay within a datagram. TestForgetServers and TestNoticesOfPartsFitIntoDatagrams are new with the functions that they test.

--- a/core/amrforward/parts.go
+++ b/core/amrforward/parts.go
@@ -145,7 +145,7 @@
 			f.forgetExplainedStrikes(*quarantine)
 			f.log.Warn("part of prompts is quarantined, since servers crash with it", "part", partName(quarantine.Part), "level", quarantine.Level, "was-sound", quarantine.Sound)
 			f.metrics.quarantines.WithLabelValues(quarantineDecided).Inc()
-			f.notifyPart(amrgossip.PartNotice{Kind: amrgossip.PartQuarantined, Model: c.Model, Part: uint64(quarantine.Part), Level: quarantine.Level, Sound: quarantine.Sound})
+			f.notifyPart(amrgossip.PartNotice{Kind: amrgossip.PartQuarantined, Model: c.Model, Part: uint64(quarantine.Part), Level: quarantine.Level, Sound: quarantine.Sound, Servers: quarantine.Servers})
 			f.storePartChange(PartChange{PartQuarantine: *quarantine})
 		}
 	}
@@ -182,7 +182,7 @@
 			}
 		case amrgossip.PartQuarantined:
 			since := now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
-			f.ApplyQuarantine(amrsuspect.PartQuarantine{Part: part, Level: n.Level, Since: since, Sound: n.Sound})
+			f.ApplyQuarantine(amrsuspect.PartQuarantine{Part: part, Level: n.Level, Since: since, Sound: n.Sound, Servers: n.Servers})
 		case amrgossip.PartLifted:
 			f.LiftQuarantine(part)
 		}
@@ -210,9 +210,7 @@
 // forgetExplainedStrikes removes the strikes that requests got when prompts with the
 // part crashed the servers that were running them, too.
 func (f *Forwarder) forgetExplainedStrikes(q amrsuspect.PartQuarantine) {
-	if q.Level == 1 { // Later ones follow a single crash.
-		f.strikes.ForgetSince(q.Since.Add(-explainedTime))
-	}
+	f.strikes.ForgetServers(q.Servers, q.Since.Add(-explainedTime))
 }
 
 // LiftQuarantine ends the quarantine of a part, as another router has decided.
--- a/core/amrgossip/message.go
+++ b/core/amrgossip/message.go
@@ -46,12 +46,13 @@
 type PartNotice struct {
 	_        struct{} `cbor:",toarray"`
 	Kind     PartNoticeKind
-	Model    uint64 // Hash of the model's name.
-	Part     uint64 // See amrsuspect.PartKey.
-	Level    int    // Of a quarantine.
-	AgeMS    int64  // Time since the start of a quarantine.
-	Sound    bool   // Prompts with a quarantined part had been answered before.
-	Sequence uint32 // Distinguishes notices that are otherwise equal; chosen by the router that sends them first.
+	Model    uint64   // Hash of the model's name.
+	Part     uint64   // See amrsuspect.PartKey.
+	Level    int      // Of a quarantine.
+	AgeMS    int64    // Time since the start of a quarantine.
+	Sound    bool     // Prompts with a quarantined part had been answered before.
+	Servers  []uint64 // Hashes of the names of the servers whose crashes led to a quarantine.
+	Sequence uint32   // Distinguishes notices that are otherwise equal; chosen by the router that sends them first.
 }
 
 // PartNoticeKind is the kind of a PartNotice.
--- a/core/amrgossip/spreader.go
+++ b/core/amrgossip/spreader.go
@@ -18,8 +18,8 @@
 	// maxKnownFacts is the maximum number of facts that a router remembers.
 	maxKnownFacts = 8192
 
-	// maxFactItems is the maximum number of items in the facts of one message,
-	// which keeps it within maxDatagram.
+	// maxFactItems is the maximum size of the facts of one message in items, which
+	// keeps it within maxDatagram.
 	maxFactItems = 32
 )
 
@@ -79,13 +79,17 @@
 	return len(s.queue) > 0
 }
 
-// Next returns facts to pass on to the next router, at most maxFactItems, and counts
-// them as passed on. The facts that were added first come first. The result is empty
-// if there are none.
+// Next returns facts to pass on to the next router, of a size of at most maxFactItems,
+// and counts them as passed on. The facts that were added first come first. The result
+// is empty if there are none.
 func (s *Spreader) Next() Facts {
 	var next Facts
-	n := min(len(s.queue), maxFactItems)
-	for i := range s.queue[:n] {
+	size := 0
+	for i := range s.queue {
+		size += s.queue[i].facts.size()
+		if size > maxFactItems {
+			break
+		}
 		next = next.with(s.queue[i].facts)
 		s.queue[i].sends--
 	}
@@ -180,6 +184,19 @@
 	return f
 }
 
+// serversPerItem is the number of servers of a PartNotice that take up as much space as
+// another fact.
+const serversPerItem = 3
+
+// size returns the size of the facts in items of usual length.
+func (f Facts) size() int {
+	size := len(f.Leaving) + len(f.Strikes) + len(f.Progress) + len(f.Parts)
+	for _, n := range f.Parts {
+		size += len(n.Servers) / serversPerItem
+	}
+	return size
+}
+
 // Empty reports whether there are no facts.
 func (f Facts) Empty() bool {
 	return len(f.Leaving)+len(f.Strikes)+len(f.Progress)+len(f.Parts) == 0
--- a/core/amrgossip/spreader_test.go
+++ b/core/amrgossip/spreader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,3 +117,31 @@
 	unlimited := newBudget(now, 0)
 	is.True(unlimited.take(now, 1<<30, 1))
 }
+
+// TestNoticesOfPartsFitIntoDatagrams checks that many notices with many servers are
+// spread over messages that are not too long to be sent.
+func TestNoticesOfPartsFitIntoDatagrams(t *testing.T) {
+	const (
+		notices = 40
+		servers = 12
+	)
+	is := is.New(t)
+	s := NewSpreader(rand.New(rand.NewPCG(1, 1)))
+	sent := make(map[uint64]int) // Number of sends by part.
+	for i := range uint64(notices) {
+		n := PartNotice{Kind: PartQuarantined, Model: 1 << 63, Part: 1<<63 + i, Level: 40, AgeMS: 1 << 40, Sound: true, Sequence: 1 << 31}
+		n.Servers = slices.Repeat([]uint64{1 << 63}, servers)
+		s.Add(Facts{Parts: []PartNotice{n}})
+	}
+	for s.Pending() {
+		f := s.Next()
+		is.True(datagramBytes(message{Era: 1 << 62, Facts: &f}) <= maxDatagram)
+		for _, n := range f.Parts {
+			sent[n.Part]++
+		}
+	}
+	is.Equal(len(sent), notices)
+	for _, n := range sent {
+		is.Equal(n, fanout)
+	}
+}
--- a/core/amrsuspect/part.go
+++ b/core/amrsuspect/part.go
@@ -35,8 +35,16 @@
 	Level int       // Number of times in a row that the part has been quarantined.
 	Since time.Time // Start of this quarantine.
 	Sound bool      // Prompts with the part had been answered before.
+
+	// Servers are the hashes of the names of the servers whose crashes led to a first
+	// quarantine, at most MaxQuarantineServers. A quarantine that was read from the
+	// shared table has none.
+	Servers []uint64
 }
 
+// MaxQuarantineServers is the maximum number of servers of a PartQuarantine.
+const MaxQuarantineServers = 12
+
 const (
 	// minPartCrashes is the number of crashes after which a part is quarantined,
 	// and minPartContents the number of different requests that must have been
--- a/core/amrsuspect/parts.go
+++ b/core/amrsuspect/parts.go
@@ -132,8 +132,9 @@
 		return ask, nil
 	}
 	worst := p.worst(now)
-	q := PartQuarantine{Part: worst.part, Level: 1, Since: now, Sound: worst.sound}
-	p.explain(now, worst.servers(), len(worst.events))
+	servers := worst.servers()
+	q := PartQuarantine{Part: worst.part, Level: 1, Since: now, Sound: worst.sound, Servers: servers[:min(len(servers), MaxQuarantineServers)]}
+	p.explain(now, servers, len(worst.events))
 	p.set(q)
 	return ask, &q
 }
--- a/core/amrsuspect/strikes.go
+++ b/core/amrsuspect/strikes.go
@@ -128,14 +128,18 @@
 	s.byFingerprint.Remove(f)
 }
 
-// ForgetSince removes the strikes of all requests since the given time, because another
-// cause of those crashes has been found.
-func (s *Strikes) ForgetSince(at time.Time) {
+// ForgetServers removes the strikes of all requests for crashes of the servers since
+// the given time, because another cause of those crashes has been found.
+func (s *Strikes) ForgetServers(servers []uint64, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	explained := func(k strike) bool { return !k.at.Before(since) && slices.Contains(servers, k.server) }
 	for _, f := range s.byFingerprint.Keys() {
 		strikes, _ := s.byFingerprint.Peek(f)
-		kept := slices.DeleteFunc(slices.Clone(strikes), func(k strike) bool { return !k.at.Before(at) })
+		if !slices.ContainsFunc(strikes, explained) {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(strikes), explained)
 		if len(kept) == 0 {
 			s.byFingerprint.Remove(f)
 			continue
--- a/core/amrsuspect/strikes_test.go
+++ b/core/amrsuspect/strikes_test.go
@@ -126,3 +126,23 @@
 	is.True(here.QuarantineRemaining(now, f) == 0)
 	is.True(there.QuarantineRemaining(now, f) == 0)
 }
+
+// TestForgetServers guards against lifting the quarantine of a request that crashes
+// servers by itself when a part of prompts is found to have crashed others.
+func TestForgetServers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := amrsuspect.NewStrikes()
+	crashing := amrsuspect.FingerprintOf("recife", "/x", "crash")
+	bystander := amrsuspect.FingerprintOf("recife", "/x", "innocent")
+	for server := range uint64(amrsuspect.MaxStrikes) {
+		s.Add(now, crashing, 10+server)
+		s.Add(now, bystander, 20+server)
+	}
+	s.ForgetServers([]uint64{20, 21}, now)
+	is.True(s.QuarantineRemaining(now, crashing) > 0)
+	is.True(s.QuarantineRemaining(now, bystander) == 0)
+	is.Equal(s.Servers(bystander), []uint64{22})
+	s.ForgetServers([]uint64{10}, now.Add(time.Second)) // Its crash was earlier.
+	is.True(s.QuarantineRemaining(now, crashing) > 0)
+}
