Count the crashes of a request that is sent again one by one

All routers had been killed four times while the store was down and came back from an older copy, so what they knew of the part was lost everywhere and had to be learned anew. That took more crashes than needed: a request that was sent again crashed the second server 20 to 30 ms after the first, which counted as one crash with a common cause. Crashes under the same request follow each other and now count one by one, so that two requests are enough again. TestRetriesAreSeparateCrashes failed before. What remains: knowledge that is lost in all routers and in the store at once costs three crashes to learn again.

--- a/core/amrsuspect/part_evidence.go
+++ b/core/amrsuspect/part_evidence.go
@@ -8,7 +8,8 @@
 const (
 	// sameMomentTime is the time within which crashes of several servers count as
 	// one: they then have a common cause, such as a loss of power, rather than
-	// several requests.
+	// several requests. Crashes of servers that ran the same request, one after the
+	// other, do not.
 	sameMomentTime = 50 * time.Millisecond
 
 	// maxEventServers is the number of servers that are remembered of such crashes.
@@ -42,7 +43,8 @@
 	for i := range e.events {
 		event := &e.events[i]
 		known := slices.Contains(event.servers, server) && now.Sub(event.at) < sameCrashTime
-		if !known && now.Sub(event.at) >= sameMomentTime {
+		sentAgain := slices.Contains(event.contents, content)
+		if !known && (sentAgain || now.Sub(event.at) >= sameMomentTime) {
 			continue
 		}
 		if !known && len(event.servers) < maxEventServers {
--- a/core/amrsuspect/parts_test.go
+++ b/core/amrsuspect/parts_test.go
@@ -85,6 +85,25 @@
 	is.True(!p.Lift(parts[0]))
 }
 
+// TestRetriesAreSeparateCrashes guards against more crashes than needed before a part is
+// quarantined: a request that is sent again at once crashes two servers one after the
+// other, which is not a common cause.
+func TestRetriesAreSeparateCrashes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := amrsuspect.NewParts("front-1")
+	parts := []amrsuspect.PartKey{amrsuspect.PartKeyOf("m1", "x")}
+	crash := func(server, content uint64) *amrsuspect.PartQuarantine {
+		_, q := p.AddCrash(now, p.CrashOf(now, server, content, parts))
+		return q
+	}
+	is.True(crash(1, 1) == nil)
+	now = now.Add(20 * time.Millisecond)
+	is.True(crash(2, 1) == nil)
+	now = now.Add(200 * time.Millisecond)
+	is.True(crash(3, 2) != nil)
+}
+
 // checkParts simulates the load with several seeds. From 3 s after the fifth crash, at
 // most three more requests that crash servers may reach them, and of the others, at
 // most one in a hundred may be refused.
