--- a/core/amrforward/event_tracker.go
+++ b/core/amrforward/event_tracker.go
@@ -72,7 +72,7 @@
 }
 
 // hasEvents reports whether the answer with the header is a stream of server-sent
-// events. One without a content type is taken for such a stream.
+// events. An answer without a content type counts as one.
 func hasEvents(h http.Header) bool {
 	text := h.Get("Content-Type")
 	mediaType, _, err := mime.ParseMediaType(text)
--- a/core/amrforward/parts.go
+++ b/core/amrforward/parts.go
@@ -19,8 +19,8 @@
 	Lifted bool
 }
 
-// partNews holds what other routers must be told of parts of prompts. Each list has at
-// most maxPendingStrikes items; more are dropped.
+// partNews holds the messages about parts of prompts that are to be sent to other
+// routers. Each list has at most maxPendingStrikes items; more are dropped.
 type partNews struct {
 	crashes []amrgossip.PartCrash
 	sound   []amrgossip.SoundPart
--- a/core/amrforward/strikes.go
+++ b/core/amrforward/strikes.go
@@ -135,7 +135,7 @@
 }
 
 // applyStrikeReports applies strikes of requests whose strikes this router collects.
-// If a request has enough of them, all routers are told.
+// If a request has enough of them, all routers are notified.
 func (f *Forwarder) applyStrikeReports(now time.Time, strikes []amrgossip.Strike) {
 	for _, s := range strikes {
 		fingerprint := amrsuspect.Fingerprint(s.Fingerprint)
--- a/core/amrgossip/message.go
+++ b/core/amrgossip/message.go
@@ -41,8 +41,8 @@
 	Parts []PartNotice `cbor:"4,keyasint,omitempty"`
 }
 
-// PartNotice asks whether a part of prompts is sound, or tells that it is quarantined
-// or no longer is.
+// PartNotice asks whether a part of prompts is sound, or announces its quarantine or the
+// end of its quarantine.
 type PartNotice struct {
 	_        struct{} `cbor:",toarray"`
 	Kind     PartNoticeKind
@@ -65,8 +65,8 @@
 	PartLifted
 )
 
-// Reports are what a router tells only those that collect it: two for each request or
-// each model.
+// Reports are observations that are sent only to the routers that collect them: two
+// routers for each request, or for each model.
 type Reports struct {
 	Strikes []Strike
 	Crashes []PartCrash
--- a/core/amrsuspect/parts.go
+++ b/core/amrsuspect/parts.go
@@ -10,7 +10,7 @@
 )
 
 // Parts finds the parts of prompts that crash the backend servers which begin to
-// answer them, and tells which prompts must be refused.
+// answer them, and decides which prompts are refused.
 //
 // A server that crashes breaks off all requests that it runs. A part is suspected if
 // it is in prompts of several different requests that were running during several
@@ -56,8 +56,8 @@
 }
 
 // RecordAnswer records that a prompt with the parts was answered completely. It
-// returns those of the parts that the collecting routers must be told of, because
-// they suspect or refuse them.
+// returns the parts to report to the collecting routers, because they suspect or refuse
+// them.
 func (p *Parts) RecordAnswer(now time.Time, parts []PartKey) (news []PartKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,8 +106,8 @@
 }
 
 // AddCrash adds a crash that a router has reported to this one. It returns the parts
-// for which all routers must be asked whether they know them to be sound, and the new
-// quarantine, if there is one, of which all routers must be told.
+// about which to ask all routers whether they are sound, and the new quarantine to
+// announce to all routers, or nil if there is none.
 func (p *Parts) AddCrash(now time.Time, c PartCrash) (ask []PartKey, quarantine *PartQuarantine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -227,10 +227,10 @@
 	return p.answerAge(now, part)
 }
 
-// MarkSound handles the report of another router that it has answered a prompt with
-// the part, the given time ago. It reports whether that lifts the quarantine of the
-// part, which all routers must then be told of: the answer came after the start of the
-// quarantine, or the part was wrongly taken for one that no prompt was answered with.
+// MarkSound handles the report of a router that answered a prompt with the part the
+// given time ago. It reports whether that lifts the quarantine of the part, which must
+// then be announced to all routers. It does if the answer is later than the quarantine,
+// or if the part was quarantined in the belief that no prompt with it had been answered.
 func (p *Parts) MarkSound(now time.Time, part PartKey, age time.Duration) (lifted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
