--- a/core/amrconfig/compact.go
+++ b/core/amrconfig/compact.go
@@ -40,12 +40,9 @@
 // moves the oldest log entries in the table there: at most scanLimit of them,
 // and none of the newest retainedEntries. It does nothing if the log is short.
 //
-// If the head changes during each attempt to update it, Compact returns no
-// error and deletes all but the newest retainedSnapshots snapshots, although the
-// head may still name one of those deleted. A store whose cached set is older
-// than the last archived revision cannot load the records then, until a later
-// compaction updates the head. A compaction that fails at any other point leaves
-// the store consistent.
+// If the head changes during each attempt to update it, Compact returns no error and
+// leaves all snapshots in place, since the head still names an older one. A compaction
+// that fails at any other point leaves the store consistent.
 func (s *Store) Compact(ctx context.Context) error {
 	set, h, err := s.loadNewest(ctx)
 	if err != nil || h.Revision < h.Archived+retainedEntries {
@@ -62,7 +59,8 @@
 	if err != nil {
 		return err
 	}
-	if err := s.removeArchivedEntries(ctx, h, entries); err != nil {
+	updated, err := s.removeArchivedEntries(ctx, h, entries)
+	if err != nil || !updated {
 		return err
 	}
 	return s.deleteOldSnapshots(ctx, h.Revision)
@@ -88,10 +86,10 @@
 }
 
 // removeArchivedEntries deletes the archived entries and their tokens from the
-// table and updates the head in the same transaction. It does nothing and
-// returns no error if another process has compacted the log since snapshotHead
-// was read, or if the head changes during each attempt.
-func (s *Store) removeArchivedEntries(ctx context.Context, snapshotHead head, entries []amraudit.Entry) error {
+// table and updates the head in the same transaction. It returns false and no error if
+// it has not updated the head, because another process has compacted the log since
+// snapshotHead was read, or because the head changes during each attempt.
+func (s *Store) removeArchivedEntries(ctx context.Context, snapshotHead head, entries []amraudit.Entry) (updated bool, err error) {
 	var deletes []string
 	for _, entry := range entries {
 		deletes = append(deletes, revisionKey(logPrefix, entry.Revision), tokenPrefix+entry.Token)
@@ -99,7 +97,7 @@
 	for range maxLogAttempts {
 		current, err := s.head(ctx)
 		if err != nil || current.Archived != snapshotHead.Archived || current.Snapshot > snapshotHead.Revision {
-			return err
+			return false, err
 		}
 		next := current
 		next.Snapshot = snapshotHead.Revision
@@ -108,7 +106,7 @@
 		}
 		put, err := next.put()
 		if err != nil {
-			return err
+			return false, err
 		}
 		err = s.table.Commit(ctx, amrplatform.Txn{
 			Checks:  []amrplatform.Check{current.check()},
@@ -116,10 +114,10 @@
 			Deletes: deletes,
 		})
 		if !errorx.IsOfType(err, amrplatform.Conflict) {
-			return err
+			return err == nil, err
 		}
 	}
-	return nil
+	return false, nil
 }
 
 // deleteOldSnapshots deletes all snapshots older than the given one, except
--- a/core/amrconfig/history_test.go
+++ b/core/amrconfig/history_test.go
@@ -141,3 +141,42 @@
 		is.Equal(follower.Current().Revision(), uint64(1100))
 	})
 }
+
+// conflictingTable is a platform whose head always changes before a compaction can
+// update it.
+type conflictingTable struct {
+	*amrmemory.Platform
+}
+
+func (t conflictingTable) Commit(ctx context.Context, txn amrplatform.Txn) error {
+	if len(txn.Deletes) > 0 {
+		return amrplatform.Conflict.New("the head has changed")
+	}
+	return t.Platform.Commit(ctx, txn)
+}
+
+// TestCompactWithConflicts guards against records that cannot be loaded any more: a
+// compaction that could not update the head deleted the snapshot that the head names.
+func TestCompactWithConflicts(t *testing.T) {
+	const revisions = 1100 // One compaction is due before.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := t.Context()
+		platform := amrmemory.New()
+		store := amrconfig.NewStore(platform, platform)
+		conflicting := amrconfig.NewStore(conflictingTable{platform}, platform)
+		for n := range revisions {
+			_, err := store.Apply(ctx, putChange(teamRecord("recife", n+1)))
+			is.NoErr(err)
+		}
+		for n := range 3 {
+			clock.Sleep(time.Minute) // The platform limits the rate of calls.
+			_, err := store.Apply(ctx, putChange(teamRecord("olinda", n+1)))
+			is.NoErr(err)
+			is.NoErr(conflicting.Compact(ctx))
+		}
+		set, err := amrconfig.NewStore(platform, platform).Load(ctx)
+		is.NoErr(err)
+		is.Equal(set.Revision(), uint64(revisions+3))
+	})
+}
