Log and count the limits that backend servers name

The adapter now decodes the header of a response, the fleet keeps it with the other signals of the incarnation, a change is logged (requests-per-second of "signal of a backend server") and amr_limited_servers counts the servers. A statement counts by the time at which its request was sent, since responses on different connections may overtake each other; of two whose order is not known the lower limit holds (testdata/limit). Callers do not get the header. Nothing is selected differently yet.

--- a/core/amrcoord/placer_test.go
+++ b/core/amrcoord/placer_test.go
@@ -391,11 +391,11 @@
 	for i := range 2 {
 		first, _ := n.pick(t, i, request("catalogue", 1000))
 		first.Done(n.clock.Now(), amrpool.Completed)
-		n.placer(i).fleet.ObserveSignals(n.clock.Now(), first.Name, amrpool.Signals{Pause: time.Second})
+		n.placer(i).fleet.ObserveSignals(n.clock.Now(), n.clock.Now(), first.Name, amrpool.Signals{Pause: time.Second})
 		second, _ := n.pick(t, i, request("catalogue", 1000))
 		is.True(second.Name != first.Name)
 		second.Done(n.clock.Now(), amrpool.Completed)
-		n.placer(i).fleet.ObserveSignals(n.clock.Now(), second.Name, amrpool.Signals{Pause: 2 * time.Second})
+		n.placer(i).fleet.ObserveSignals(n.clock.Now(), n.clock.Now(), second.Name, amrpool.Signals{Pause: 2 * time.Second})
 		none, denial := n.pick(t, i, request("catalogue", 1000))
 		is.True(none == nil)
 		is.Equal(denial.Reason, amrpool.Paused)
--- a/core/amrdirect/metrics.go
+++ b/core/amrdirect/metrics.go
@@ -50,32 +50,42 @@
 	}
 }
 
-// serversCollector collects the number of backend servers by pool and state.
+// serversCollector collects the number of backend servers by pool and state, and that
+// of those which have named a limit.
 type serversCollector struct {
-	router *Router
-	desc   *prometheus.Desc
+	router  *Router
+	desc    *prometheus.Desc
+	limited *prometheus.Desc
 }
 
 func (r *Router) newServersCollector() *serversCollector {
 	return &serversCollector{
 		router: r,
 		desc:   prometheus.NewDesc("amr_backend_servers", "Backend servers by pool and state.", []string{"pool", "state"}, nil),
+
+		limited: prometheus.NewDesc("amr_limited_servers", "Backend servers that have named a limit of the requests per second that they take.", []string{"pool"}, nil),
 	}
 }
 
-// Describe sends the descriptor of the gauge.
+// Describe sends the descriptors of the gauges.
 func (c *serversCollector) Describe(out chan<- *prometheus.Desc) {
 	out <- c.desc
+	out <- c.limited
 }
 
-// Collect sends the current values of the gauge.
+// Collect sends the current values of the gauges.
 func (c *serversCollector) Collect(out chan<- prometheus.Metric) {
 	now := c.router.clock.Now()
 	for _, pool := range c.router.fleet.Pools() {
 		counts := make(map[string]int)
+		limited := 0
 		for _, s := range c.router.fleet.States(now, pool) {
 			counts[s.Status()]++
+			if s.Limit > 0 {
+				limited++
+			}
 		}
+		out <- prometheus.MustNewConstMetric(c.limited, prometheus.GaugeValue, float64(limited), pool)
 		for state, n := range counts {
 			out <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(n), pool, state)
 		}
--- a/core/amrdirect/weights_change.go
+++ b/core/amrdirect/weights_change.go
@@ -126,8 +126,9 @@
 func (r *rollout) report(ctx context.Context, c plannedChange) (EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := r.clock.Now()
 	report, err := r.deps.Engines.Report(ctx, c.server.Address, c.server.Name)
-	if err == nil && r.fleet.ObserveSignals(r.clock.Now(), c.server.Name, report.Signals) {
+	if err == nil && r.fleet.ObserveSignals(r.clock.Now(), sentAt, c.server.Name, report.Signals) {
 		r.log.Info("signal of a backend server in its report", "server", c.server.Name, "leaving", report.Signals.Leaving)
 	}
 	return report, err
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -182,13 +182,15 @@
 	start := x.f.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	withheld := false
+	withheld, sentAt := false, start
 	a := x.newAttempt(choice)
 	a.BeforeSend = func() (time.Duration, error) {
+		sentAt = x.f.clock.Now()
 		timeLeft, err := x.checkSend(choice)
 		withheld = err != nil
 		return timeLeft, err
 	}
+	a.Observe = func(s amrpool.Signals, err error) { x.observe(choice, sentAt, s, err) }
 	answer, err := x.f.backend.Send(ctx, a)
 	switch {
 	case withheld:
@@ -257,7 +259,6 @@
 		SaveTo:         choice.SaveTo,
 		LastEventID:    x.request.LastEventID,
 		FreshConn:      !x.retryable,
-		Observe:        func(s amrpool.Signals) { x.observe(choice, s) },
 	}
 	if x.team != nil {
 		a.Team = x.team.Name
@@ -268,12 +269,17 @@
 	return a
 }
 
-// observe records the signals of the chosen server.
-func (x *exchange) observe(choice *amrpool.Choice, s amrpool.Signals) {
-	if s == (amrpool.Signals{}) || !choice.Observe(x.f.clock.Now(), s) {
+// observe records the signals of the chosen server in a response that arrived on the
+// connection on which the request was sent. The error tells which of them cannot be
+// read.
+func (x *exchange) observe(choice *amrpool.Choice, sentAt time.Time, s amrpool.Signals, err error) {
+	if err != nil {
+		x.f.log.Warn("cannot read a signal of a backend server; ignoring it", "id", x.request.ID, "server", choice.Name, "err", err)
+	}
+	if s == (amrpool.Signals{}) || !choice.Observe(x.f.clock.Now(), sentAt, s) {
 		return
 	}
-	x.f.log.Info("signal of a backend server", "id", x.request.ID, "server", choice.Name, "leaving", s.Leaving, "no-requests-for", s.Pause)
+	x.f.log.Info("signal of a backend server", "id", x.request.ID, "server", choice.Name, "leaving", s.Leaving, "no-requests-for", s.Pause, "requests-per-second", s.Limit.PerSecond)
 }
 
 // recordSend reports the end of a send to the fleet and keeps the send for logs
--- a/core/amrforward/pause_test.go
+++ b/core/amrforward/pause_test.go
@@ -47,7 +47,7 @@
 		"suspended": {suspended: 5 * time.Second, refused: true},
 		"draining":  {change: drain},
 		"asks for time": {change: func(f *amrpool.Fleet, server string) {
-			f.ObserveSignals(clock.Now(), server, amrpool.Signals{Pause: time.Second})
+			f.ObserveSignals(clock.Now(), clock.Now(), server, amrpool.Signals{Pause: time.Second})
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/amrforward/request.go
+++ b/core/amrforward/request.go
@@ -52,8 +52,8 @@
 	BeforeSend func() (timeLeft time.Duration, err error)
 
 	// Observe must be called with the signals in the header of each response
-	// that arrives on the connection.
-	Observe func(amrpool.Signals)
+	// that arrives on the connection, and an error if some cannot be read.
+	Observe func(amrpool.Signals, error)
 }
 
 // Answer is a backend server's answer, with the body still to be read.
--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -255,6 +255,7 @@
 	InFlight      int            // Requests in flight that this router sent or placed.
 	TotalInFlight float64        // All requests in flight; those that this router neither sent nor placed are estimated.
 	Faults        float64        // Current fault score.
+	Limit         float64        // Requests per second that the server takes from all routers together; 0 if it has named no limit.
 }
 
 // Status returns the state as a single word, which is a value of a metric
@@ -306,6 +307,7 @@
 			InFlight:      s.inFlight,
 			TotalInFlight: f.requests(now, s),
 			Faults:        s.faultScore(now),
+			Limit:         s.signals.limit.perSecond,
 		})
 	}
 	return states
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -33,8 +33,10 @@
 //	     [max-wait=DURATION] [impatient] [urgent] [show-cached]
 //	answer ID [running=N]           the server begins to respond
 //	done ID RESULT
-//	signal ID [leaving] [pause=DURATION]
-//	                                the server sends signals in a response
+//	signal ID [leaving] [pause=DURATION] [limit=N|limit=none] [sent=DURATION]
+//	                                the server sends signals in a response to a request
+//	                                that was sent the given time before
+//	limit NAME                      prints the limit of the server
 //	allowed ID                      prints whether the request may still be sent
 //	heard-leaving NAME STARTED      another router reports a leaving server
 //	leaving                         prints the number of leaving servers to announce
@@ -139,7 +141,17 @@
 		s.choices[words[0]].Done(now, parseResult(t, words[1]))
 	case "signal":
 		pause, _ := time.ParseDuration(optionValue(words, "pause"))
-		s.choices[words[0]].Observe(now, amrpool.Signals{Leaving: slices.Contains(words, "leaving"), Pause: pause})
+		ago, _ := time.ParseDuration(optionValue(words, "sent"))
+		s.choices[words[0]].Observe(now, now.Add(-ago), amrpool.Signals{Leaving: slices.Contains(words, "leaving"), Pause: pause, Limit: parseLimit(t, words)})
+	case "limit":
+		for _, pool := range s.fleet.Pools() {
+			for _, state := range s.fleet.States(now, pool) {
+				if state.Name == words[0] {
+					return strconv.FormatFloat(state.Limit, 'g', -1, 64)
+				}
+			}
+		}
+		return "unknown"
 	case "allowed":
 		return strconv.FormatBool(s.choices[words[0]].Allowed(now))
 	case "heard-leaving":
@@ -181,6 +193,22 @@
 	return ""
 }
 
+// parseLimit returns the statement of a limit in the words of a signal.
+func parseLimit(t *testing.T, words []string) amrpool.RateLimit {
+	text := optionValue(words, "limit")
+	if text == "" {
+		return amrpool.RateLimit{}
+	}
+	if text == "none" {
+		return amrpool.RateLimit{Stated: true}
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return amrpool.RateLimit{Stated: true, PerSecond: limit}
+}
+
 // pick executes the pick command. It returns the selected server with its
 // options, or the reason why none was selected.
 func (s *script) pick(t *testing.T, words []string) string {
--- a/core/amrpool/signals.go
+++ b/core/amrpool/signals.go
@@ -21,6 +21,7 @@
 type Signals struct {
 	Leaving bool          // The server is about to stop and must get no new requests.
 	Pause   time.Duration // Time for which the server asks this router for no requests; 0 if it does not.
+	Limit   RateLimit
 }
 
 // incarnationSignals holds what an incarnation of a server told about itself. It
@@ -29,6 +30,7 @@
 	started     time.Time // Identifies the incarnation.
 	leaving     bool
 	pausedUntil time.Time
+	limit       rateLimit
 }
 
 // signalMemory remembers the signals of the last incarnation of each server.
@@ -64,27 +66,28 @@
 
 // Observe records the signals that the server sent, and reports whether they
 // changed what is known of the server. They need not belong to the response to
-// this request.
-func (c *Choice) Observe(now time.Time, signals Signals) bool {
+// this request, which was sent at the given time.
+func (c *Choice) Observe(now, sentAt time.Time, signals Signals) bool {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	return c.fleet.observe(now, c.server, signals)
+	return c.fleet.observe(now, sentAt, c.server, signals)
 }
 
-// ObserveSignals records the signals that the named server sent, and reports
-// whether they changed what is known of the server.
-func (f *Fleet) ObserveSignals(now time.Time, name string, signals Signals) bool {
+// ObserveSignals records the signals that the named server sent in the response to a
+// request that was sent at the given time, and reports whether they changed what is
+// known of the server.
+func (f *Fleet) ObserveSignals(now, sentAt time.Time, name string, signals Signals) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.byName[name]
-	return s != nil && f.observe(now, s, signals)
+	return s != nil && f.observe(now, sentAt, s, signals)
 }
 
 // observe records the signals of the server, and reports whether they changed
 // what is known of it. A server that has just told that it is leaving is
 // announced to the other routers.
-func (f *Fleet) observe(now time.Time, s *server, signals Signals) bool {
-	changed := false
+func (f *Fleet) observe(now, sentAt time.Time, s *server, signals Signals) bool {
+	changed := signals.Limit.Stated && s.observeLimit(rateLimit{signals.Limit.PerSecond, sentAt, now})
 	if until := now.Add(min(signals.Pause, maxPause)); signals.Pause > 0 && until.After(s.signals.pausedUntil) {
 		s.signals.pausedUntil = until
 		changed = true
@@ -101,6 +104,17 @@
 	return changed
 }
 
+// observeLimit records a statement about the server's limit, and reports whether the
+// limit changed.
+func (s *server) observeLimit(stated rateLimit) bool {
+	limit, replaced := s.signals.limit.updated(stated)
+	changed := limit.perSecond != s.signals.limit.perSecond
+	if replaced {
+		s.signals.limit = limit
+	}
+	return changed
+}
+
 // LeavingServer is an incarnation of a server that has told that it is leaving.
 type LeavingServer struct {
 	Server  ServerID
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -61,6 +61,8 @@
 	fault       Fault
 	faultsLeft  int           // Number of requests that the fault still applies to; negative for all.
 	leaving     bool          // The server tells in all responses that it is leaving.
+	limit       string        // Requests per second that the server names in all responses; empty for none.
+	arrivals    []time.Time   // Times at which requests arrived while the server named a limit.
 	retryAfter  string        // Value of the Retry-After header of rejections; empty for none.
 	rejected    int           // Number of rejected requests.
 	events      int           // Number of events of a stream.
@@ -117,6 +119,22 @@
 	s.leaving = leaving
 }
 
+// SetLimit sets the requests per second that the server names in all responses to
+// requests as the number that it takes. It names none if the text is empty.
+func (s *Server) SetLimit(perSecond string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
+// LimitedArrivals returns the times at which requests arrived while the server named a
+// limit, in order. Requests that it rejected count.
+func (s *Server) LimitedArrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 // SetRetryAfter sets the value of the Retry-After header of rejections. They have
 // no such header if it is empty.
 func (s *Server) SetRetryAfter(value string) {
@@ -204,16 +222,19 @@
 	return s.withSignals(mux)
 }
 
-// withSignals returns a handler that sets the header with which a leaving server
-// marks its responses.
+// withSignals returns a handler that sets the headers in which a server tells that it is
+// leaving, or how many requests it takes.
 func (s *Server) withSignals(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		leaving := s.leaving
+		leaving, limit := s.leaving, s.limit
 		s.mu.Unlock()
 		if leaving {
 			w.Header().Set("Server-Leaving", "1")
 		}
+		if limit != "" {
+			w.Header().Set("Server-Limit", limit)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -383,6 +404,9 @@
 func (s *Server) begin(r *http.Request) (status int, fault Fault, version int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.limit != "" {
+		s.arrivals = append(s.arrivals, s.clock.Now())
+	}
 	if want := r.Header.Get("Amaranthreach-Expect-Instance"); want != "" && want != s.Name {
 		return http.StatusMisdirectedRequest, FaultNone, 0
 	}
