--- /dev/null
+++ b/core/amrcoord/limit_test.go
@@ -0,0 +1,172 @@
+package amrcoord
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrgossip"
+	"amaranthreach.example/core/amrpool"
+)
+
+const (
+	limitWindow = 4 * time.Second       // Window in which the requests to a server with a limit are counted.
+	limitNotice = 3 * time.Second       // Time after which all routers must keep to a limit.
+	limitSlack  = 5                     // Requests in a window that are allowed in addition.
+	limitFactor = 1.5                   // Multiple of the limit that is allowed.
+	limitStep   = 10 * time.Millisecond // Between two requests.
+	limitRun    = 30 * time.Second
+)
+
+// limitPlay lets routers send requests to servers of which the first ones have limits.
+type limitPlay struct {
+	network  *network
+	request  func(i int) amrpool.Request
+	limits   map[string]float64 // By name of the server; the other servers have none.
+	router   func(i int) int    // Router that gets the i-th request.
+	each     func(i int)        // Called before the i-th request; may be nil.
+	arrivals map[string][]time.Time
+	served   int
+	refused  []amrpool.Denial
+}
+
+// run plays the requests.
+func (p *limitPlay) run(t *testing.T) {
+	t.Helper()
+	n := p.network
+	p.arrivals = make(map[string][]time.Time)
+	start := n.clock.Now()
+	for i := 0; n.clock.Since(start) < limitRun; i++ {
+		if p.each != nil {
+			p.each(i)
+		}
+		choice, denial := n.pick(t, p.router(i), p.request(i))
+		if choice == nil {
+			p.refused = append(p.refused, denial)
+		} else {
+			now := n.clock.Now()
+			p.served++
+			p.arrivals[choice.Name] = append(p.arrivals[choice.Name], now)
+			choice.Observe(now, now, amrpool.Signals{Limit: amrpool.RateLimit{Stated: true, PerSecond: p.limits[choice.Name]}})
+			choice.ResponseStarted(now, nil)
+			choice.Done(now, amrpool.Completed)
+		}
+		n.clock.Advance(limitStep)
+	}
+}
+
+// check checks that each server with a limit got no more than that allows, and at least
+// the share of it.
+func (p *limitPlay) check(t *testing.T, minUsed float64) {
+	t.Helper()
+	for name, limit := range p.limits {
+		allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
+		arrivals := p.arrivals[name]
+		most, first := 0, 0
+		for i, end := range arrivals {
+			for end.Sub(arrivals[first]) >= limitWindow {
+				first++
+			}
+			if end.Sub(arrivals[0]) >= limitNotice+limitWindow {
+				most = max(most, i+1-first)
+			}
+		}
+		rate := float64(len(arrivals)) / limitRun.Seconds()
+		t.Logf("%s: limit %v a second, %.2f in the mean, %d in %v at most, %v allowed", name, limit, rate, most, limitWindow, allowed)
+		if float64(most) > allowed {
+			t.Errorf("%s: more requests than its limit allows", name)
+		}
+		if rate < minUsed*limit {
+			t.Errorf("%s: far fewer requests than its limit allows", name)
+		}
+	}
+}
+
+// engineRequest returns the i-th request for engines. Prompts differ, so that they are
+// spread over all engines.
+func engineRequest(i int) amrpool.Request {
+	return request(fmt.Sprint("catalogue-", i), 1000)
+}
+
+// plainRequest returns the i-th request for plain servers.
+func plainRequest(int) amrpool.Request {
+	return amrpool.Request{Pool: plainPool}
+}
+
+// TestLimitOverRouters guards against routers which each keep to the limit that a server
+// names, or to a fixed share of it, so that the server gets too many or too few requests
+// from all of them.
+func TestLimitOverRouters(t *testing.T) {
+	all := func(i int) int { return i * 7 % 20 }
+	one := func(int) int { return 3 }
+	for _, limit := range []float64{0.5, 2.3, 15} {
+		for _, c := range []struct {
+			name    string
+			request func(int) amrpool.Request
+			server  string
+			router  func(int) int
+		}{
+			{"engines", engineRequest, "e0", all}, {"engines-one-router", engineRequest, "e0", one},
+			{"plain", plainRequest, "a0", all}, {"plain-one-router", plainRequest, "a0", one},
+		} {
+			t.Run(fmt.Sprint(c.name, "-", limit), func(t *testing.T) {
+				p := limitPlay{network: newNetwork(20, 4), request: c.request, limits: map[string]float64{c.server: limit}, router: c.router}
+				p.run(t)
+				p.check(t, 0.6)
+				is.New(t).Equal(len(p.refused), 0)
+			})
+		}
+	}
+}
+
+// TestLimitOfWholePool checks that callers are refused at once, with a time to come back,
+// while all servers of a pool have reached their limits.
+func TestLimitOfWholePool(t *testing.T) {
+	for _, r := range []func(int) amrpool.Request{engineRequest, plainRequest} {
+		is := is.New(t)
+		limits := map[string]float64{"e0": 3, "e1": 0.8, "e2": 5, "e3": 9}
+		if r(0).Pool == plainPool {
+			limits = map[string]float64{"a0": 3, "a1": 0.8, "a2": 5, "a3": 9}
+		}
+		p := limitPlay{network: newNetwork(10, 4), request: r, limits: limits, router: func(i int) int { return i % 10 }}
+		p.run(t)
+		p.check(t, 0.6)
+		is.True(len(p.refused) > p.served)
+		for _, denial := range p.refused[len(p.refused)/2:] {
+			is.Equal(denial.Reason, amrpool.Paused)
+			is.True(denial.Pause > 0)
+		}
+	}
+}
+
+// TestLimitWithoutCoordinator checks that the limit is kept, and nobody refused, while the
+// router that coordinates the pool does not reply and another one takes its place.
+func TestLimitWithoutCoordinator(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(6, 4)
+	coordinator := -1
+	p := limitPlay{network: n, request: engineRequest, limits: map[string]float64{"e0": 4}}
+	p.router = func(i int) int {
+		if router := i % len(n.hosts); router != coordinator {
+			return router
+		}
+		return (coordinator + 1) % len(n.hosts)
+	}
+	p.each = func(i int) {
+		if i != 1000 {
+			return
+		}
+		for router, host := range n.hosts {
+			if n.queries[amrgossip.IDOf(host)] > 0 {
+				coordinator = router
+				n.silent[amrgossip.IDOf(host)] = true
+			}
+		}
+	}
+	p.run(t)
+	p.check(t, 0.5)
+	is.True(coordinator >= 0)
+	is.Equal(len(p.refused), 0)
+}
--- a/core/amrcoord/placer_test.go
+++ b/core/amrcoord/placer_test.go
@@ -18,6 +18,7 @@
 
 const (
 	testPool  = "engines"
+	plainPool = "app"
 	testModel = "m1"
 )
 
@@ -57,6 +58,9 @@
 				Name: fmt.Sprint("e", i), Pool: testPool, Address: fmt.Sprint("e", i), Slots: 32, Weights: map[string]int{testModel: 1},
 			})
 		}
+		for i := range servers {
+			fleet.UpdateServer(amrpool.Listing{Name: fmt.Sprint("a", i), Pool: plainPool, Address: fmt.Sprint("a", i), Slots: 8})
+		}
 		p := New(host, fleet, names{n, host}, n.clock, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 		p.SetRouters(all)
 		p.SetMessenger(endpoint{n, amrgossip.IDOf(host)})
@@ -71,14 +75,14 @@
 	host    string
 }
 
-func (n names) Pools() []string  { return n.known(testPool) }
+func (n names) Pools() []string  { return n.known(testPool, plainPool) }
 func (n names) Models() []string { return n.known(testModel) }
 
-func (n names) known(name string) []string {
+func (n names) known(names ...string) []string {
 	if n.network.unknown[n.host] {
 		return nil
 	}
-	return []string{name}
+	return names
 }
 
 // endpoint is the Messenger of a router.
