--- a/core/amrdirect/row_applier.go
+++ b/core/amrdirect/row_applier.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		a.fleet.UpdateServer(listing)
-		a.log.Info("backend server listed", "server", listing.Name, "pool", listing.Pool, "address", listing.Address, "zone", listing.AvailabilityZone, "draining", listing.Draining, "weights", listing.Weights, "row-version", row.Version)
+		a.log.Info("backend server listed", "server", listing.Name, "pool", listing.Pool, "address", listing.Address, "zone", listing.AvailabilityZone, "draining", listing.Draining, "software", listing.Software, "weights", listing.Weights, "row-version", row.Version)
 	}
 	a.rollout.signal()
 }
--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -97,6 +97,9 @@
 	if !x.firstByte.IsZero() {
 		attrs = append(attrs, slog.Duration("first-byte", x.firstByte.Sub(x.request.Arrived).Round(time.Millisecond)))
 	}
+	if x.request.LastEventID != "" {
+		attrs = append(attrs, slog.String("resumes", x.request.Resumes), slog.String("after-event", x.request.LastEventID))
+	}
 	if len(x.sends) > 0 {
 		attrs = append(attrs, slog.String("sends", x.formatSends()))
 	}
@@ -124,6 +127,9 @@
 		if s.endsWithConnection {
 			end += " end=connection"
 		}
+		if c.Software != "" {
+			end = " software=" + c.Software + end
+		}
 		b.WriteString(c.Name + " weights=" + strconv.Itoa(c.WeightsVersion) +
 			" cached=" + strconv.Itoa(c.CachedTokens) + " missing=" + strconv.Itoa(c.PrefillTokens) +
 			" cost=" + c.Cost.Round(time.Millisecond).String() +
--- a/core/amrforward/request.go
+++ b/core/amrforward/request.go
@@ -19,6 +19,7 @@
 	Key           string        // API key of the caller; empty if there is none.
 	CallerTimeout time.Duration // Time from Arrived until the caller's deadline; 0 if the caller sets none.
 	LastEventID   string        // ID of the last event that the caller has received; empty if there is none.
+	Resumes       string        // ID of the caller's request that brought the first event of the stream which this one resumes; empty if unknown.
 	Arrived       time.Time
 
 	// EndsWithConnection is set if the caller knows the end of an answer without a
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -103,6 +103,7 @@
 type Choice struct {
 	Name           string
 	Address        string
+	Software       string // Version of the server's software; empty if unknown.
 	WeightsVersion int    // Version of the model's weights that the server is assumed to hold; 0 if unknown.
 	CacheSalt      string // Salt of cache keys that separates parts of different weights and isolated teams.
 	FetchFrom      string // Address of a server or store that may have missing parts; empty if there is none.
@@ -311,6 +312,7 @@
 	choice := &Choice{
 		Name:           s.Name,
 		Address:        s.Address,
+		Software:       s.Software,
 		WeightsVersion: version,
 		Cost:           cost,
 		fleet:          f,
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -39,6 +39,7 @@
 	Address          string // IP address and port.
 	AvailabilityZone string
 	Slots            int            // Number of requests that the server runs concurrently.
+	Software         string         // Version of the server's software, not of the weights; there is no order between versions. Empty if the platform does not provide it.
 	Draining         bool           // Whether the server accepts no new requests.
 	Started          time.Time      // Start of this incarnation of the server; zero if the platform does not provide it.
 	Weights          map[string]int // Version of the weights by model.
