--- a/standin/amrsite/records.go
+++ b/standin/amrsite/records.go
@@ -86,6 +86,12 @@
 	return e
 }
 
+// WithSoftware returns a copy of the entry with the version of the server's software.
+func (e Entry) WithSoftware(version string) Entry {
+	e.Version = version
+	return e
+}
+
 // PutServer writes the entry of the server to the server list.
 func (s *Store) PutServer(server string, e Entry) {
 	s.putJSON(serversTable, server, e)
