Let streams go on only at the software version that began them

Cause: the router read neither the software version of a server nor the header by which a caller names the request that began the stream; a broken stream went on at any server, within one answer and where callers took it up. The class is, as for limits, a fact that binds all routers and that one of them knows, here one that may be gone.

Now the version of the server whose event the caller got first binds all further sends. A router tells three others, by rendezvous hashing of the stream, before the first event, while the servers of the pool may have had several versions; a router that does not know a stream that a caller takes up asks them. Nothing is told or asked while a pool has had one version for longer than callers wait. A stream that nobody knows is refused (unknown-stream, not-run). The coordinator selects only servers with the version; if the prompt's groups have none, the router looks at all servers.

--- a/core/amrcoord/convert.go
+++ b/core/amrcoord/convert.go
@@ -13,7 +13,7 @@
 		Sequence: sequence, Pool: nameID(r.Pool), Model: nameID(r.Model), Group: r.Group.Index, Groups: r.Group.Count,
 		Keys: r.PrefixKeys(), PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
 		MaxWaitMS: int(r.MaxWait.Milliseconds()), TimeLeftMS: int(timeLeft.Milliseconds()),
-		Urgent: r.Urgent, NoPartsWait: r.NoPartsWait,
+		Urgent: r.Urgent, NoPartsWait: r.NoPartsWait, Software: uint32(r.Software),
 	}
 	for _, p := range r.Parts {
 		q.PartTokens = append(q.PartTokens, p.Tokens)
@@ -30,7 +30,7 @@
 	r := amrpool.Request{
 		Pool: pool, Model: model, Keys: q.Keys, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
 		MaxWait: time.Duration(q.MaxWaitMS) * time.Millisecond, Urgent: q.Urgent, NoPartsWait: q.NoPartsWait,
-		Group: amrpool.Group{Index: q.Group, Count: q.Groups},
+		Group: amrpool.Group{Index: q.Group, Count: q.Groups}, Software: amrpool.SoftwareID(q.Software),
 	}
 	for _, tokens := range q.PartTokens {
 		r.Parts = append(r.Parts, amrpool.Part{Tokens: tokens})
--- a/core/amrcoord/placer.go
+++ b/core/amrcoord/placer.go
@@ -142,6 +142,17 @@
 	} else {
 		first, second = p.nextGroups(r.Pool)
 	}
+	choice, denial := p.pickFromGroups(ctx, r, first, second, timeLeft)
+	if choice == nil && r.Software != 0 && first.Count > 1 { // Other groups may have servers with the software.
+		r.Group, r.ExcludeLimited = amrpool.Group{}, true
+		return p.fleet.Pick(p.clock.Now(), r)
+	}
+	return choice, denial
+}
+
+// pickFromGroups selects a server of the first group, or of the second one if the first
+// cannot take the request.
+func (p *Placer) pickFromGroups(ctx context.Context, r amrpool.Request, first, second amrpool.Group, timeLeft time.Duration) (*amrpool.Choice, amrpool.Denial) {
 	choice, denial := p.pickFrom(ctx, r, first, timeLeft)
 	if first == second || !p.spills(r, choice, denial) {
 		return choice, denial
--- a/core/amrcoord/placer_test.go
+++ b/core/amrcoord/placer_test.go
@@ -537,3 +537,31 @@
 	second, _ := n.pick(t, 1, teamRequest(other))
 	is.Equal(second.FetchFrom, first.Name) // The address of a server is its name here.
 }
+
+// TestStreamGoesOnInOtherGroup checks that a request which goes on with a stream is sent to
+// a server with the software version that began it, whichever placement group that is in.
+func TestStreamGoesOnInOtherGroup(t *testing.T) {
+	const servers = 120
+	is := is.New(t)
+	n := newNetwork(3, servers)
+	for _, p := range n.placers {
+		for i := range servers {
+			name := fmt.Sprint("e", i)
+			listing := amrpool.Listing{Name: name, Pool: testPool, Address: name, Slots: 32, Weights: map[string]int{testModel: 1}, Software: "v2"}
+			if i == 7 {
+				listing.Software = "v1"
+			}
+			p.fleet.UpdateServer(listing)
+		}
+	}
+	for i := range 30 {
+		r := request(fmt.Sprint("prompt-", i), 1000)
+		r.Software = amrpool.SoftwareIDOf("v1")
+		choice, denial := n.pick(t, i%3, r)
+		if choice == nil {
+			t.Fatal(denial)
+		}
+		is.Equal(choice.Name, "e7")
+		choice.Done(n.clock.Now(), amrpool.Completed)
+	}
+}
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -31,6 +31,7 @@
 	"amaranthreach.example/core/amrforward"
 	"amaranthreach.example/core/amrgossip"
 	"amaranthreach.example/core/amrorder"
+	"amaranthreach.example/core/amrorigin"
 	"amaranthreach.example/core/amrpool"
 	"amaranthreach.example/core/amrreplica"
 )
@@ -115,6 +116,7 @@
 	copies     *amrreplica.Server
 	gossip     *amrgossip.Exchange
 	placer     *amrcoord.Placer
+	origins    *amrorigin.Directory
 	factsReady chan struct{} // Signals that there are facts for the other routers.
 	followers  []*amrfollow.Follower
 	registrar  *registrar
@@ -168,14 +170,16 @@
 	r.factsReady = make(chan struct{}, 1)
 	r.fleet = amrpool.New(r.fleetOptions()...)
 	r.placer = amrcoord.New(settings.Host, r.fleet, recordNames{r}, r.clock, r.log, r.registry)
+	r.origins = amrorigin.New(r.fleet, r.clock, r.log)
 	r.quarantine = newQuarantines(r)
 	r.forward = amrforward.New(r.fleet, deps.Backend, r.forwarderOptions()...)
 	r.rollout = r.newRollout()
 	r.rowApplier = &rowApplier{decoder: deps.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout}
 	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipAdapter{router: r}, r.clock, r.log,
-		amrgossip.WithPlacements(r.placer), amrgossip.WithBudget(settings.noticesBudget()), amrgossip.WithRegisterer(r.registry))
+		amrgossip.WithPlacements(r.placer), amrgossip.WithOrigins(r.origins), amrgossip.WithBudget(settings.noticesBudget()), amrgossip.WithRegisterer(r.registry))
 	if settings.NoticesAddress != "" {
 		r.placer.SetMessenger(r.gossip)
+		r.origins.SetMessenger(r.gossip)
 	}
 	r.registrar = newRegistrar(r)
 	r.createFollowers()
@@ -191,6 +195,7 @@
 		amrforward.WithLogger(r.log),
 		amrforward.WithMetrics(amrforward.NewMetrics(r.registry)),
 		amrforward.WithPlacer(r.placer),
+		amrforward.WithOrigins(r.origins),
 		amrforward.WithNews(r.requestSend),
 		amrforward.WithRetryBounds(r.settings.Bounds.Retries, func() int { return int(r.routers.Load()) }),
 		amrforward.WithHost(r.settings.Host),
@@ -403,6 +408,7 @@
 	group.Go(func() error { return r.quarantine.run(ctx) })
 	group.Go(func() error { return r.gossip.Run(ctx) })
 	group.Go(func() error { return r.placer.Run(ctx) })
+	group.Go(func() error { return r.origins.Run(ctx) })
 	return group.Wait()
 }
 
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -67,8 +67,10 @@
 	sends         []sendRecord
 	possibleRuns  int // Number of sends that may have run the request.
 	rejections    int
-	headerWritten bool   // The header of an answer has been written to the caller.
-	lastEventID   string // ID of the last event that the caller has received.
+	headerWritten bool               // The header of an answer has been written to the caller.
+	lastEventID   string             // ID of the last event that the caller has received.
+	choice        *amrpool.Choice    // Server of the last attempt.
+	software      amrpool.SoftwareID // Version of the software that began the stream; 0 if no event has been received.
 	firstByte     time.Time
 	status        int
 	writeErr      error
@@ -93,6 +95,9 @@
 	x.f.countRequest(now, x.pool)
 	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(now))
 	defer cancel()
+	if r := x.findOrigin(ctx); r != nil {
+		return r
+	}
 	for {
 		choice, r := x.pickServer(ctx)
 		if r != nil {
@@ -182,6 +187,7 @@
 	start := x.f.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.choice = choice
 	withheld, sentAt := false, start
 	a := x.newAttempt(choice)
 	a.BeforeSend = func() (time.Duration, error) {
--- a/core/amrforward/forward_test.go
+++ b/core/amrforward/forward_test.go
@@ -30,7 +30,7 @@
 
 // TestForward runs the scripts of testdata/forward with these commands:
 //
-//	servers NAME...              adds backend servers to the pool
+//	servers NAME[=SOFTWARE]...   adds backend servers to the pool, or lists them again
 //	budget SLACK                 starts a new forwarder that allows SLACK retries
 //	no-table                     starts a new forwarder without a routing table
 //	answers                      sets the behavior of the backend servers, with one line for each send
@@ -96,7 +96,7 @@
 	switch d.Cmd {
 	case "servers":
 		for _, arg := range d.CmdArgs {
-			s.fleet.UpdateServer(amrpool.Listing{Name: arg.Key, Pool: "app", Address: arg.Key, Slots: 1})
+			s.fleet.UpdateServer(amrpool.Listing{Name: arg.Key, Pool: "app", Address: arg.Key, Slots: 1, Software: strings.Join(arg.Vals, "")})
 		}
 		return ""
 	case "budget":
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"amaranthreach.example/core/amrgossip"
+	"amaranthreach.example/core/amrorigin"
 	"amaranthreach.example/core/amrpool"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrretry"
@@ -44,6 +45,17 @@
 	Pick(ctx context.Context, r amrpool.Request, timeLeft time.Duration) (*amrpool.Choice, amrpool.Denial)
 }
 
+// Origins knows which software version of a server began each stream.
+type Origins interface {
+	// Begin records that a server of the pool with the software version has begun the
+	// stream, or goes on with it, before the caller gets an event of that server.
+	Begin(s amrorigin.Stream, pool string, software amrpool.SoftwareID)
+
+	// Find returns the origin of a stream that a caller takes up. The pool is the one
+	// that a new stream would go to. It may block for some milliseconds.
+	Find(ctx context.Context, s amrorigin.Stream, pool string) (amrorigin.Origin, amrorigin.Certainty)
+}
+
 // fleetPlacer is the Placer of a router that knows no others.
 type fleetPlacer struct {
 	fleet *amrpool.Fleet
@@ -66,6 +78,7 @@
 // use. Create it with New.
 type Forwarder struct {
 	placer  Placer
+	origins Origins
 	backend Backend
 	clock   clockwork.Clock
 	boot    BootClock
@@ -121,6 +134,12 @@
 	return func(f *Forwarder) { f.placer = p }
 }
 
+// WithOrigins sets what knows the origins of streams. The default knows those of this
+// router.
+func WithOrigins(o Origins) Option {
+	return func(f *Forwarder) { f.origins = o }
+}
+
 // WithLogger replaces slog.Default as the logger.
 func WithLogger(log *slog.Logger) Option {
 	return func(f *Forwarder) { f.log = log }
@@ -176,6 +195,9 @@
 	if f.placer == nil {
 		f.placer = fleetPlacer{fleet: fleet, clock: f.clock}
 	}
+	if f.origins == nil {
+		f.origins = amrorigin.New(fleet, f.clock, f.log)
+	}
 	f.started = f.clock.Now()
 	return f
 }
@@ -334,7 +356,7 @@
 // poolRequest returns the criteria by which the fleet picks a server for the
 // request.
 func (x *exchange) poolRequest() amrpool.Request {
-	r := amrpool.Request{Pool: x.pool, Exclude: x.excluded, NoPartsWait: x.skipPartsWait, Urgent: x.priority == 0}
+	r := amrpool.Request{Pool: x.pool, Exclude: x.excluded, NoPartsWait: x.skipPartsWait, Urgent: x.priority == 0, Software: x.software}
 	if x.request.Model == "" {
 		return r
 	}
--- /dev/null
+++ b/core/amrforward/origin.go
@@ -0,0 +1,59 @@
+package amrforward
+
+import (
+	"context"
+
+	"amaranthreach.example/core/amrorigin"
+	"amaranthreach.example/core/amrreason"
+	"amaranthreach.example/core/amrroute"
+)
+
+// resumable reports whether the request is for a stream that may go on at another server.
+func (x *exchange) resumable() bool {
+	return x.route.Kind == amrroute.Stream && x.route.Resumable
+}
+
+// stream identifies the stream of the request: that which it takes up, or its own.
+func (x *exchange) stream() amrorigin.Stream {
+	if x.request.LastEventID != "" && x.request.Resumes != "" {
+		return amrorigin.StreamOf(x.request.Resumes)
+	}
+	return amrorigin.StreamOf(x.request.ID)
+}
+
+// findOrigin finds the software version of the server that began the stream which the
+// request takes up. It returns a refusal if no router can tell.
+func (x *exchange) findOrigin(ctx context.Context) *refusal {
+	if x.request.LastEventID == "" || !x.resumable() {
+		return nil
+	}
+	origin, certainty := x.f.origins.Find(ctx, x.stream(), x.pool)
+	x.f.log.Info("stream is taken up", "id", x.request.ID, "resumes", x.request.Resumes, "after-event", x.request.LastEventID, "origin", certainty.String(), "software-id", uint32(origin.Software))
+	if certainty == amrorigin.Unknown {
+		return x.refusal(amrreason.UnknownStream, noServerRetry, "nobody knows the origin of the stream")
+	}
+	if pool, ok := x.targetPool(origin.Pool); ok {
+		x.pool, x.software = pool, origin.Software
+	}
+	return nil
+}
+
+// targetPool returns the name of the pool if requests of the route may go to it. If not,
+// the route has been changed since the stream began.
+func (x *exchange) targetPool(id amrorigin.PoolID) (string, bool) {
+	for _, target := range x.route.Targets {
+		if amrorigin.PoolIDOf(target.Pool) == id {
+			return target.Pool, true
+		}
+	}
+	return "", false
+}
+
+// recordOrigin records which software version begins the stream, immediately before the
+// caller gets the first event of the present server.
+func (x *exchange) recordOrigin() {
+	if x.software == 0 {
+		x.software = x.choice.SoftwareID
+	}
+	x.f.origins.Begin(x.stream(), x.pool, x.software)
+}
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -81,7 +81,7 @@
 // canResume reports whether another server can continue the answer after the
 // last event that the caller has received.
 func (x *exchange) canResume() bool {
-	return x.route.Kind == amrroute.Stream && x.route.Resumable && x.lastEventID != ""
+	return x.resumable() && x.lastEventID != ""
 }
 
 // relayFinal copies to the caller an answer with a server error after which no
@@ -156,6 +156,7 @@
 	var splitter eventSplitter
 	resumable := x.route.Resumable
 	events := hasEvents(a.Header)
+	recorded := false
 	err := x.copyBody(a.Body, func(p []byte) error {
 		switch {
 		case resumable:
@@ -163,6 +164,10 @@
 			if len(p) == 0 {
 				return nil
 			}
+			if !recorded {
+				x.recordOrigin()
+				recorded = true
+			}
 		case events:
 			splitter.tracker.push(p)
 		}
--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -108,6 +108,14 @@
 	SendCommon()
 }
 
+// Origins handles the messages by which routers tell each other which software versions
+// began streams.
+type Origins interface {
+	HandleOrigins(origins []StreamOrigin)
+	HandleOriginQuery(q OriginQuery) OriginReply
+	HandleOriginReply(r OriginReply)
+}
+
 // IDOf returns the ID of the named host.
 func IDOf(host string) HostID {
 	return HostID(xxh3.HashString(host))
@@ -119,6 +127,7 @@
 	address    string // UDP address at which this router receives; empty if the exchange is disabled.
 	state      State
 	placements Placements
+	origins    Origins
 	clock      clockwork.Clock
 	log        *slog.Logger
 	metrics    *metrics
@@ -152,6 +161,12 @@
 	return func(e *Exchange) { e.placements = p }
 }
 
+// WithOrigins sets the handler of the origins of streams. Without one, such messages are
+// ignored.
+func WithOrigins(o Origins) Option {
+	return func(e *Exchange) { e.origins = o }
+}
+
 // WithRegisterer sets the registerer of the exchange's metrics.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(e *Exchange) { e.metrics = newMetrics(r) }
@@ -261,6 +276,7 @@
 	if m.Ping != 0 {
 		e.send(m.From, message{Pong: m.Ping}, kindPlacement)
 	}
+	e.handleOrigins(m)
 	if e.placements == nil {
 		return
 	}
@@ -278,12 +294,30 @@
 		e.placements.HandleReply(now, m.From, *m.Reply)
 	}
 	if m.Query != nil {
+		m.Query.Software = m.Software
 		e.placements.HandleQuery(now, m.From, *m.Query, func(reply Reply) bool {
 			return e.send(m.From, message{Reply: &reply, WithinLimit: reply.WithinLimit}, kindPlacement)
 		})
 	}
 }
 
+// handleOrigins handles what a message tells or asks of the origins of streams.
+func (e *Exchange) handleOrigins(m message) {
+	if e.origins == nil {
+		return
+	}
+	if len(m.Origins) > 0 {
+		e.origins.HandleOrigins(m.Origins)
+	}
+	if m.OriginReply != nil {
+		e.origins.HandleOriginReply(*m.OriginReply)
+	}
+	if m.OriginQuery != nil {
+		reply := e.origins.HandleOriginQuery(*m.OriginQuery)
+		e.send(m.From, message{OriginReply: &reply}, kindFacts)
+	}
+}
+
 // handleFacts applies the facts that are news and passes them on.
 func (e *Exchange) handleFacts(now time.Time, f Facts) {
 	e.mu.Lock()
@@ -369,14 +403,30 @@
 // collectorsOf returns the routers that collect the reports with the key, by
 // rendezvous hashing over all routers.
 func (e *Exchange) collectorsOf(key uint64) []HostID {
+	return first(append(e.others(), e.host), key, collectors)
+}
+
+// RoutersFor returns up to n other routers, by their rank for the key in rendezvous
+// hashing.
+func (e *Exchange) RoutersFor(key uint64, n int) []HostID {
+	return first(e.others(), key, n)
+}
+
+// others returns the other routers.
+func (e *Exchange) others() []HostID {
 	e.mu.Lock()
-	hosts := []HostID{e.host}
+	defer e.mu.Unlock()
+	var hosts []HostID
 	for _, p := range e.peers {
 		hosts = append(hosts, p.host)
 	}
-	e.mu.Unlock()
+	return hosts
+}
+
+// first returns up to n of the hosts, by their rank for the key in rendezvous hashing.
+func first(hosts []HostID, key uint64, n int) []HostID {
 	slices.SortFunc(hosts, func(a, b HostID) int { return cmp.Compare(rank(b, key), rank(a, key)) })
-	return hosts[:min(collectors, len(hosts))]
+	return hosts[:min(n, len(hosts))]
 }
 
 // rank returns the rank of the host for the key in rendezvous hashing.
@@ -424,7 +474,19 @@
 // SendQuery sends a query, with updates that are due, to the router on the host. It
 // reports whether the query was sent.
 func (e *Exchange) SendQuery(to HostID, q Query, updates []Update) bool {
-	return e.send(to, message{Query: &q, Updates: updates}, kindPlacement)
+	return e.send(to, message{Query: &q, Updates: updates, Software: q.Software}, kindPlacement)
+}
+
+// SendOrigins tells the router on the host which software versions began streams, and
+// reports whether the message was sent.
+func (e *Exchange) SendOrigins(to HostID, origins []StreamOrigin) bool {
+	return e.send(to, message{Origins: origins}, kindFacts)
+}
+
+// SendOriginQuery asks the router on the host which software version began a stream, and
+// reports whether the query was sent.
+func (e *Exchange) SendOriginQuery(to HostID, q OriginQuery) bool {
+	return e.send(to, message{OriginQuery: &q}, kindFacts)
 }
 
 // SendUpdates sends updates to the router on the host, and reports whether they were
--- a/core/amrgossip/message.go
+++ b/core/amrgossip/message.go
@@ -23,7 +23,37 @@
 	Crashes []PartCrash `cbor:"11,keyasint,omitempty"` // Crashes that the receiver collects.
 	Sound   []SoundPart `cbor:"12,keyasint,omitempty"` // Parts that the receiver has asked for or quarantined.
 
-	WithinLimit bool `cbor:"13,keyasint,omitempty"` // Of the reply.
+	WithinLimit bool   `cbor:"13,keyasint,omitempty"` // Of the reply.
+	Software    uint32 `cbor:"14,keyasint,omitempty"` // Of the query.
+
+	Origins     []StreamOrigin `cbor:"15,keyasint,omitempty"` // Streams that the receiver keeps.
+	OriginQuery *OriginQuery   `cbor:"16,keyasint,omitempty"`
+	OriginReply *OriginReply   `cbor:"17,keyasint,omitempty"`
+}
+
+// StreamOrigin tells which software version began a stream; see package amrorigin.
+type StreamOrigin struct {
+	_        struct{} `cbor:",toarray"`
+	Stream   uint64
+	Pool     uint32
+	Software uint32
+}
+
+// OriginQuery asks which software version began a stream.
+type OriginQuery struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint32   // Identifies the query among those of its sender.
+	Stream   uint64
+	Pool     uint32
+}
+
+// OriginReply is the answer to an OriginQuery.
+type OriginReply struct {
+	_         struct{} `cbor:",toarray"`
+	Sequence  uint32   // Of the query.
+	Certainty int      // See amrorigin.Certainty.
+	Pool      uint32
+	Software  uint32
 }
 
 // HostID identifies the host of a router in messages. It is a hash of the host's
@@ -172,6 +202,7 @@
 	Urgent       bool // Engines schedule the request before others.
 	NoPartsWait  bool
 	Exclude      []ServerID
+	Software     uint32 `cbor:"-"` // Version of the software that the server must have; 0 allows any. Sent beside the query, like Reply.WithinLimit.
 }
 
 // Reply is the answer to a query: the selected server, or the reason why there is
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -53,10 +53,11 @@
 	PromptTokens int      // Size of the whole prompt.
 	OutputTokens int      // Expected number of generated tokens.
 	Team         string
-	Isolated     bool     // Whether cached parts must not be shared with other teams.
-	Exclude      []string // Names of servers that must not be selected, such as those that failed or rejected the request.
-	NoPartsWait  bool     // Whether Pick must not return PartsPending.
-	Group        Group    // Placement group from which the server is selected.
+	Isolated     bool       // Whether cached parts must not be shared with other teams.
+	Exclude      []string   // Names of servers that must not be selected, such as those that failed or rejected the request.
+	NoPartsWait  bool       // Whether Pick must not return PartsPending.
+	Software     SoftwareID // Version of the software that began the stream which the request goes on with; 0 allows any.
+	Group        Group      // Placement group from which the server is selected.
 
 	// LimitShare is the share that this router may use of the limits that servers
 	// name for all routers together; 0 counts as 1. With ExcludeLimited, servers that
@@ -104,6 +105,7 @@
 	Name           string
 	Address        string
 	Software       string // Version of the server's software; empty if unknown.
+	SoftwareID     SoftwareID
 	WeightsVersion int    // Version of the model's weights that the server is assumed to hold; 0 if unknown.
 	CacheSalt      string // Salt of cache keys that separates parts of different weights and isolated teams.
 	FetchFrom      string // Address of a server or store that may have missing parts; empty if there is none.
@@ -232,7 +234,7 @@
 	denial := Denial{Reason: NoServer, Pause: maxPause}
 	for _, s := range f.pools[r.Pool] {
 		switch {
-		case !r.Group.contains(s):
+		case !r.Group.contains(s) || !s.hasSoftware(&r):
 		case !s.acceptsRequests(now):
 		case slices.Contains(r.Exclude, s.Name):
 			denial.Reason = max(denial.Reason, AllExcluded)
@@ -313,6 +315,7 @@
 		Name:           s.Name,
 		Address:        s.Address,
 		Software:       s.Software,
+		SoftwareID:     s.software,
 		WeightsVersion: version,
 		Cost:           cost,
 		fleet:          f,
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -24,13 +24,13 @@
 // load pattern or a rule and checks which servers are selected. The commands
 // are:
 //
-//	list NAME [pool=P] [zone=Z] [weights=N] [draining] [started=MS]
+//	list NAME [pool=P] [zone=Z] [weights=N] [software=V] [draining] [started=MS]
 //	unlist NAME [grace=DURATION]
 //	weights VERSION                 a version of the weights is declared
 //	named VERSION AGO               another router saw the declaration AGO before now
 //	change NAME=VERSION...          servers that are about to load weights
 //	pick ID [pool=P] [parts=A:N+B:N] [exclude=NAME+NAME] [isolated=TEAM]
-//	     [max-wait=DURATION] [impatient] [urgent] [show-cached]
+//	     [max-wait=DURATION] [software=V] [impatient] [urgent] [show-cached]
 //	answer ID [running=N]           the server begins to respond
 //	done ID RESULT
 //	signal ID [leaving] [pause=DURATION] [limit=N|limit=none] [sent=DURATION]
@@ -233,6 +233,9 @@
 	if team := optionValue(words, "isolated"); team != "" {
 		r.Team, r.Isolated = team, true
 	}
+	if software := optionValue(words, "software"); software != "" {
+		r.Software = amrpool.SoftwareIDOf(software)
+	}
 	r.NoPartsWait = slices.Contains(words, "impatient")
 	r.Urgent = slices.Contains(words, "urgent")
 	if wait := optionValue(words, "max-wait"); wait != "" {
@@ -408,6 +411,7 @@
 	if started := optionValue(words, "started"); started != "" {
 		l.Started = time.UnixMilli(int64(parseInt(t, started)))
 	}
+	l.Software = optionValue(words, "software")
 	l.Draining = slices.Contains(words, "draining")
 	return l
 }
--- a/core/amrpool/server.go
+++ b/core/amrpool/server.go
@@ -65,14 +65,15 @@
 // server is the state of a backend server as far as the router knows it.
 type server struct {
 	Listing
-	id      ServerID
-	hash    uint64             // Hash of the name, for rendezvous hashing.
-	groups  int                // Number of groups for which group was computed; 0 if it was not.
-	group   int                // Index of its placement group.
-	goneAt  time.Time          // Time from which the server counts as gone; zero unless it was removed or replaced.
-	signals incarnationSignals // What this incarnation told about itself.
-	version map[string]int     // Version of the weights by model.
-	change  WeightsChange      // Change of weights that is planned or in progress; the zero value if there is none.
+	id       ServerID
+	hash     uint64             // Hash of the name, for rendezvous hashing.
+	groups   int                // Number of groups for which group was computed; 0 if it was not.
+	group    int                // Index of its placement group.
+	goneAt   time.Time          // Time from which the server counts as gone; zero unless it was removed or replaced.
+	software SoftwareID         // ID of Listing.Software.
+	signals  incarnationSignals // What this incarnation told about itself.
+	version  map[string]int     // Version of the weights by model.
+	change   WeightsChange      // Change of weights that is planned or in progress; the zero value if there is none.
 
 	changeUntil time.Time // Time until which change keeps requests away; zero for no limit.
 
@@ -122,6 +123,7 @@
 		signals.put(s.id, s.signals)
 	}
 	s.Listing = l
+	s.software = SoftwareIDOf(l.Software)
 	s.goneAt = time.Time{}
 	for model, version := range l.Weights {
 		s.observeVersion(model, version)
--- a/core/amrreason/reason.go
+++ b/core/amrreason/reason.go
@@ -24,6 +24,7 @@
 	Draining               Code = "draining"
 	StaleConfiguration     Code = "stale-configuration"
 	WrongWeights           Code = "wrong-weights"
+	UnknownStream          Code = "unknown-stream"
 	EngineUnavailable      Code = "engine-unavailable"
 	EngineLost             Code = "engine-lost"
 	CrashSuspect           Code = "crash-suspect"
@@ -75,6 +76,7 @@
 	{Draining, NotRun, http.StatusServiceUnavailable, "The server is leaving and takes no new work.", "Send it again; another server takes it."},
 	{StaleConfiguration, NotRun, http.StatusServiceUnavailable, "The router's configuration is older than the one in force.", "Send it again; the router is catching up."},
 	{WrongWeights, NotRun, http.StatusServiceUnavailable, "The backend server does not hold the weights in force.", "Send it again after the time in Retry-After."},
+	{UnknownStream, NotRun, http.StatusServiceUnavailable, "No router knows which version of the servers' software began the stream, and it can go on only at that one.", "Send it again after the time in Retry-After, or from the beginning."},
 	{EngineUnavailable, NotRun, http.StatusServiceUnavailable, "The backend server does not answer.", "Send it again after the time in Retry-After."},
 	{EngineLost, RunUnknown, http.StatusBadGateway, "The backend server was lost while the request ran.", "Send it again with the same idempotency key."},
 	{CrashSuspect, NotRun, http.StatusServiceUnavailable, "A backend server crashed while it ran this request, which now runs only alone, once at a time.", "Send it again after the time in Retry-After."},
