Let the fault soak name limits of servers and take streams up again

The soak now has the kind server-limit, engines of two software versions side by side, and callers that take a broken stream up at another router. It checks limits over the routers that were told, the software version of all servers that go on with a stream, and that streams do go on.

--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -34,6 +34,8 @@
 	PromptParts string        // Parts of the prompt as "ID:TOKENS,..."; only used on the routes for streams.
 	Content     string        // Distinguishes requests that are otherwise the same.
 	Poison      string        // If not empty, each server that runs the request drops its connection.
+	Resumes     string        // ID of the request that brought the first event of the stream which this one takes up; empty for a new stream.
+	LastEventID string        // ID of the last event of that stream that the client got.
 }
 
 // NewHTTPRequest returns the HTTP request to the router at the address.
@@ -55,6 +57,10 @@
 		h.Set("Amaranthreach-Model", r.Model)
 		h.Set("Amaranthreach-Token-Count", "1460,80") // Prompt tokens and maximum number of output tokens.
 		h.Set("Amaranthreach-Prefix-Hash", r.PromptParts)
+		if r.LastEventID != "" {
+			h.Set("Last-Event-Id", r.LastEventID)
+			h.Set("Resumes", r.Resumes)
+		}
 	}
 	return request, nil
 }
@@ -131,11 +137,21 @@
 		return false
 	}
 	if r.Stream() {
-		return response.Body == StreamBody(events)
+		last, _ := strconv.Atoi(r.LastEventID) // 0 for a new stream.
+		return response.Body == strings.TrimPrefix(StreamBody(events), StreamBody(last))
 	}
 	return response.Body == serviceBody+server
 }
 
+// ServerOfStamp returns the name of the server with the stamp, or "" if it is none.
+func ServerOfStamp(stamp string) string {
+	server, found := strings.CutPrefix(stamp, stampPrefix)
+	if !found {
+		return ""
+	}
+	return server
+}
+
 // StreamBody returns the body of a complete stream with the number of events.
 func StreamBody(events int) string {
 	var b strings.Builder
--- a/standin/amrsoak/checker.go
+++ b/standin/amrsoak/checker.go
@@ -71,7 +71,9 @@
 	refused bool // Whether it is not repeatable and its answer promises that it does not run.
 	runs    int  // Number of runs that began at servers.
 
-	leavingServer string // The server that ran it last, if that told that it is leaving.
+	begunAt       string   // Software version of the server that began the stream; empty until the answer has ended.
+	wentOnAt      []string // Servers that went on with the stream.
+	leavingServer string   // The server that ran it last, if that told that it is leaving.
 }
 
 // poisonState is the observed state of a poison request, which is a request that
@@ -106,6 +108,10 @@
 	poisons          map[string]*poisonState    // By the value of Request.Poison or Request.CrashingPart.
 	leaving          map[link]time.Time         // When a router passed on an answer of a leaving server.
 	pauses           map[link]*pause            // The last pause that a server asked a router for.
+	limits           map[string]*limit          // Limits that servers name, by server.
+	software         map[string]string          // Versions of the servers' software, by server.
+	takenUp          served                     // Undisturbed requests that take streams up.
+	newStreams       served                     // Undisturbed requests that begin streams that can be taken up.
 	violations       []Violation
 	answered         int
 	refused          int
@@ -120,6 +126,7 @@
 		clock: clock, streamEvents: streamEvents, timeLimits: limits, disturbances: d, requests: make(map[string]*trackedRequest),
 		drainStarts: make(map[string]time.Time), poisons: make(map[string]*poisonState),
 		leaving: make(map[link]time.Time), pauses: make(map[link]*pause),
+		limits: make(map[string]*limit), software: make(map[string]string),
 		keyChanges: []keyChange{{at: clock.Now(), valid: true}},
 	}
 }
@@ -210,6 +217,10 @@
 	c.checkPoison(tracked, now)
 	c.checkLeaving(tracked, run)
 	c.checkPause(link{tracked.router, run.Server}, now)
+	c.checkLimit(link{tracked.router, run.Server}, now)
+	if run.LastEventID != "" {
+		tracked.wentOnAt = append(tracked.wentOnAt, run.Server)
+	}
 	if !c.disturbances.undisturbed(tracked.router, tracked.sent.Add(-c.timeLimits.settle), now) {
 		return
 	}
@@ -268,7 +279,10 @@
 	id, undisturbed := tracked.request.ID, c.disturbances.undisturbed(tracked.router, tracked.sent.Add(-c.timeLimits.settle), now)
 	if undisturbed {
 		c.undisturbedCount++
+		c.countTakenUp(tracked, a)
 	}
+	c.recordTold(tracked, a, now)
+	c.checkSoftware(tracked, a)
 	if undisturbed && now.Sub(tracked.sent) > tracked.request.Timeout+c.timeLimits.answerDelay {
 		c.report("an answer in time", "%s ended %v after it was sent, its deadline was %v", id, now.Sub(tracked.sent), tracked.request.Timeout)
 	}
--- a/standin/amrsoak/command.go
+++ b/standin/amrsoak/command.go
@@ -142,8 +142,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	fmt.Fprintf(out, "seed %d: %d faults, answered %d, refused %d, lost %d, undisturbed %d, broken promises %q\n",
-		seed, len(result.Faults), result.Answered, result.Refused, result.Lost, result.Undisturbed, result.brokenPromises())
+	fmt.Fprintf(out, "seed %d: %d faults, answered %d, refused %d, lost %d, undisturbed %d, went on %d of %d, broken promises %q\n",
+		seed, len(result.Faults), result.Answered, result.Refused, result.Lost, result.Undisturbed, result.TakenUp.served, result.TakenUp.all, result.brokenPromises())
 	if len(result.Violations) > 0 || o.verbose {
 		result.write(out)
 	}
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -60,6 +60,7 @@
 	serverAsksPause     faultKind = "server-asks-pause"    // A backend server rejects requests and asks for no more of them.
 	serverNoLength      faultKind = "server-no-length"     // A backend server ends its responses, whole or inside an event, only with the connection.
 	crashingPart        faultKind = "crashing-part"        // Different requests are sent that have a part in common which crashes backend servers.
+	serverLimit         faultKind = "server-limit"         // A backend server names in its responses the requests per second that it takes from all routers.
 	serverEndless       faultKind = "server-endless"       // A backend server sends bytes that are no response, without end.
 )
 
@@ -70,7 +71,7 @@
 	killRouter, killAllRouters, stopRouter, pauseRouter, hangUp, callersLink, storeLink, serverLink, storeDown, storeLosesAnswers,
 	storeForgetsHistory, storeClock, storeInvalidRows, serverErrors, serverDrains, serverCrashes, revokeKey, newWeights,
 	poisonRequest, peersLink, storeRestored, serverTellsLeaving, serverAsksPause, serverEndless, serverNoLength,
-	crashingPart,
+	crashingPart, serverLimit,
 }
 
 // fault is one fault of a soak test. Only some of its fields apply to each kind.
@@ -230,6 +231,8 @@
 		s.tellLeaving(b, f.Length)
 	case serverAsksPause:
 		s.askPause(b, f)
+	case serverLimit:
+		s.nameLimit(b, f)
 	case serverEndless:
 		s.failRequests(b, endlessFaults[f.FaultyRequests%len(endlessFaults)], f)
 	case serverNoLength:
--- a/standin/amrsoak/load.go
+++ b/standin/amrsoak/load.go
@@ -36,7 +36,12 @@
 	at := s.clock.Now()
 	for n := 1; amrpace.SleepUntil(ctx, s.clock, at) == nil; n++ {
 		r, request := s.randomRequest(random, fmt.Sprintf("%s-%d", name, n))
-		group.Go(func() error { s.send(r, request); return nil })
+		seed := random.Uint64()
+		group.Go(func() error {
+			tracked, answer := s.sendTracked(r, request)
+			s.takeUp(rand.New(rand.NewPCG(seed, seed)), tracked, answer)
+			return nil
+		})
 		at = at.Add(sendInterval)
 	}
 	return group.Wait()
@@ -82,10 +87,17 @@
 // send sends a request to the router, reusing idle connections, and checks its
 // answer. It reports whether the answer is complete and successful.
 func (s *site) send(r *router, request amrsite.Request) bool {
+	_, answer := s.sendTracked(r, request)
+	return request.IsComplete(answer, streamEvents)
+}
+
+// sendTracked is like send, and returns the request as the checker tracks it and the
+// answer, which is empty if there was none.
+func (s *site) sendTracked(r *router, request amrsite.Request) (*trackedRequest, amrsite.Response) {
 	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout+callerTimeoutMargin)
 	defer cancel()
 	tracked := s.checker.recordSend(request, r.name)
 	answer, err := request.Send(ctx, r.client, r.callers.Address())
 	s.checker.checkAnswer(tracked, answer, err)
-	return err == nil && request.IsComplete(answer, streamEvents)
+	return tracked, answer
 }
--- a/standin/amrsoak/signals.go
+++ b/standin/amrsoak/signals.go
@@ -63,6 +63,7 @@
 	now := c.clock.Now()
 	l := link{tracked.router, server}
 	c.checkPause(l, now)
+	c.checkLimit(l, now)
 	if seconds, err := strconv.Atoi(retryAfter); err == nil {
 		c.pauses[l] = &pause{asked: now, until: now.Add(time.Duration(seconds) * time.Second)}
 	}
@@ -100,6 +101,13 @@
 			delete(c.leaving, l)
 		}
 	}
+	for _, limit := range c.limits {
+		for router := range limit.told {
+			if match(link{router: router}) {
+				delete(limit.told, router)
+			}
+		}
+	}
 	for l := range c.pauses {
 		if match(l) {
 			delete(c.pauses, l)
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -186,6 +186,10 @@
 	}
 	backend.ObserveRejections(func(id, retryAfter string) { s.checker.checkRejection(name, id, retryAfter) })
 	entry := amrsite.NewEntry(pool, proxy.Address(), modelName, s.clock.Now())
+	if modelName != "" {
+		entry = entry.WithSoftware(softwareVersions[len(s.servers)%len(softwareVersions)])
+	}
+	s.checker.recordSoftware(name, entry.Version)
 	added := &server{Server: backend, proxy: proxy, entry: entry, listed: entry}
 	s.servers = append(s.servers, added)
 	s.store.PutServer(name, added.entry)
@@ -284,6 +288,7 @@
 		b.SetFault(amrsite.FaultNone, 0)
 		b.SetRetryAfter("")
 		b.SetLeaving(false)
+		b.SetLimit("")
 		s.restartServer(b)
 	}
 	for _, r := range s.routers {
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -56,10 +56,11 @@
 // Result is the result of a soak test.
 type Result struct {
 	Faults      []fault
-	Answered    int // Requests with a successful answer.
-	Refused     int // Requests with any other status.
-	Lost        int // Requests with no answer or an incomplete one.
-	Undisturbed int // Requests without a disturbance, to which the time limits apply.
+	Answered    int    // Requests with a successful answer.
+	Refused     int    // Requests with any other status.
+	Lost        int    // Requests with no answer or an incomplete one.
+	Undisturbed int    // Requests without a disturbance, to which the time limits apply.
+	TakenUp     served // Undisturbed requests that take streams up.
 	Violations  []Violation
 }
 
@@ -81,13 +82,14 @@
 	err = site.runFaults(ctx, random, faults)
 	if err == nil {
 		site.waitForRecovery(ctx)
+		checker.checkTakenUp()
 		for _, b := range site.servers {
 			checker.checkOrders(b.Name, b.Orders())
 		}
 	}
 	err = errors.Join(err, site.close(), site.checkLogs())
 	return Result{
-		Faults: faults, Answered: checker.answered, Refused: checker.refused, Lost: checker.lost, Undisturbed: checker.undisturbedCount, Violations: checker.Violations(),
+		Faults: faults, Answered: checker.answered, Refused: checker.refused, Lost: checker.lost, Undisturbed: checker.undisturbedCount, TakenUp: checker.takenUp, Violations: checker.Violations(),
 	}, err
 }
 
--- /dev/null
+++ b/standin/amrsoak/takeup.go
@@ -0,0 +1,91 @@
+package amrsoak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"amaranthreach.example/standin/amrsite"
+)
+
+// Versions of the engines' software, in turn.
+var softwareVersions = []string{"v1", "v1.1"}
+
+// minTakenUp is the number of streams from which the share of those that go on is checked.
+const minTakenUp = 12
+
+// takeUp takes a stream up again that broke off after its caller had got some events, at
+// a router that is ready.
+func (s *site) takeUp(random *rand.Rand, begun *trackedRequest, got amrsite.Response) {
+	events := strings.Count(got.Body, "\n\n")
+	if begun.request.Route != amrsite.ResumableStreamRoute || got.Status != http.StatusOK || got.Err == nil || events == 0 {
+		return
+	}
+	request := begun.request
+	request.ID += "-again"
+	request.Resumes, request.LastEventID = begun.request.ID, strconv.Itoa(events)
+	s.send(s.pickRouter(random), request)
+}
+
+// recordSoftware records the version of a server's software.
+func (c *Checker) recordSoftware(server, version string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.software[server] = version
+}
+
+// checkSoftware checks that all servers that went on with a stream have the software
+// version of the one that began it. The caller must hold c.mu.
+func (c *Checker) checkSoftware(tracked *trackedRequest, a amrsite.Response) {
+	if a.Status != http.StatusOK || tracked.request.Route != amrsite.ResumableStreamRoute || !strings.Contains(a.Body, "\n\n") {
+		return
+	}
+	if tracked.begunAt == "" {
+		tracked.begunAt = c.software[amrsite.ServerOfStamp(a.Stamp)]
+		if begun := c.requests[tracked.request.Resumes]; begun != nil {
+			tracked.begunAt = begun.begunAt
+		}
+	}
+	for _, server := range tracked.wentOnAt {
+		if c.software[server] != tracked.begunAt {
+			c.report("streams keep their software version", "%s began at %s and went on at %s with %s", tracked.request.ID, tracked.begunAt, server, c.software[server])
+		}
+	}
+}
+
+// countTakenUp counts the answer to a request that takes a stream up, or begins one, and
+// whose router was not disturbed. The caller must hold c.mu.
+func (c *Checker) countTakenUp(tracked *trackedRequest, a amrsite.Response) {
+	if tracked.request.Route != amrsite.ResumableStreamRoute || tracked.request.CrashingPart() != "" {
+		return
+	}
+	counts := &c.newStreams
+	if tracked.request.LastEventID != "" {
+		counts = &c.takenUp
+	}
+	counts.all++
+	if a.Status == http.StatusOK && strings.Contains(a.Body, "\n\n") {
+		counts.served++
+	}
+}
+
+// served counts requests and those of them that were served.
+type served struct {
+	all, served int
+}
+
+// share returns the share of the requests that were served.
+func (s served) share() float64 {
+	return float64(s.served) / float64(max(1, s.all))
+}
+
+// checkTakenUp checks that streams which callers take up go on at least half as often as
+// new streams begin.
+func (c *Checker) checkTakenUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.takenUp.all >= minTakenUp && c.takenUp.share() < c.newStreams.share()/2 {
+		c.report("streams go on", "%d of %d streams that callers took up went on, and %d of %d new ones began", c.takenUp.served, c.takenUp.all, c.newStreams.served, c.newStreams.all)
+	}
+}
--- /dev/null
+++ b/standin/amrsoak/takeup_test.go
@@ -0,0 +1,85 @@
+package amrsoak
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/standin/amrsite"
+)
+
+// TestCheckLimits checks that the Checker reports a server which gets more requests than
+// its limit allows from routers that it has told, and none that gets what is allowed or
+// whose requests come from routers that were not told, or were disturbed.
+func TestCheckLimits(t *testing.T) {
+	const perSecond = 2
+	for _, c := range []struct {
+		name   string
+		pause  time.Duration // Between two requests.
+		told   bool
+		killed bool
+		broken bool
+	}{
+		{"too many", 100 * time.Millisecond, true, false, true},
+		{"allowed", 400 * time.Millisecond, true, false, false},
+		{"not told", 100 * time.Millisecond, false, false, false},
+		{"killed", 100 * time.Millisecond, true, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newCheckerTest(amrsite.IdempotentRoute, permanentKey)
+			s.recordLimit("a", perSecond)
+			if c.killed {
+				s.disturbances.begin("router-1", s.clock.Now())(s.clock.Now().Add(time.Second))
+			}
+			for range int(20 * time.Second / c.pause) {
+				s.send(amrsite.IdempotentRoute, permanentKey)
+				s.run("a")
+				if c.told {
+					s.answer(200, "stamp-of-a", "the whole answer of a")
+				}
+				s.clock.Advance(c.pause)
+			}
+			is.Equal(len(s.Violations()) > 0, c.broken)
+		})
+	}
+}
+
+// TestCheckSoftware checks that the Checker reports streams that go on at another software
+// version than the one that began them, within one answer and where callers take them up.
+func TestCheckSoftware(t *testing.T) {
+	for _, c := range []struct {
+		inAnswer, takenUpAt string // Servers that go on with the stream; empty for none.
+		broken              bool
+	}{
+		{"", "", false}, {"b", "", false}, {"c", "", true}, {"", "b", false}, {"b", "a", false}, {"", "c", true}, {"b", "c", true},
+	} {
+		t.Run(fmt.Sprint(c.inAnswer, "-", c.takenUpAt), func(t *testing.T) {
+			is := is.New(t)
+			s := newCheckerTest(amrsite.ResumableStreamRoute, permanentKey)
+			for server, version := range map[string]string{"a": "v1", "b": "v1", "c": "v1.1"} {
+				s.recordSoftware(server, version)
+			}
+			run := func(server string) {
+				s.run(server)
+				s.tracked.wentOnAt = append(s.tracked.wentOnAt, server)
+			}
+			s.run("a")
+			if c.inAnswer != "" {
+				run(c.inAnswer)
+			}
+			s.checkAnswer(s.tracked, amrsite.Response{Status: 200, Stamp: "stamp-of-a", Body: amrsite.StreamBody(1), Err: errors.New("cut")}, nil)
+			if c.takenUpAt != "" {
+				begun := s.tracked
+				s.tracked = s.recordSend(amrsite.Request{ID: "r2", Route: amrsite.ResumableStreamRoute, Key: permanentKey, Resumes: begun.request.ID, LastEventID: "1"}, "router-2")
+				s.tracked.wentOnAt = []string{c.takenUpAt}
+				s.tracked.runs = 1
+				s.answer(200, "stamp-of-"+c.takenUpAt, "id: 2\ndata: token\n\n")
+			}
+			is.Equal(len(s.Violations()) > 0, c.broken)
+		})
+	}
+}
