Quarantine a part that was sound until seconds ago in time

Now an answer shows a part to be sound as of the time at which its prompt was sent; runs that had been answered for 0.25 s are not reported; and a sound part is quarantined if the probability to be in so many of the crashes by chance, with its share of the answered prompts and the runs that each crash broke off, is below 1 in 100. A quarantine explains crashes away only for parts that were in no others.

--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -70,6 +70,8 @@
 	headerWritten bool               // The header of an answer has been written to the caller.
 	lastEventID   string             // ID of the last event that the caller has received.
 	choice        *amrpool.Choice    // Server of the last attempt.
+	sentAt        time.Time          // Time at which the last attempt was sent.
+	begunAt       time.Time          // Time at which the stream of the last attempt was first written to the caller; zero before that.
 	software      amrpool.SoftwareID // Version of the software that began the stream; 0 if no event has been received.
 	firstByte     time.Time
 	status        int
@@ -188,15 +190,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.choice = choice
-	withheld, sentAt := false, start
+	x.sentAt, x.begunAt = start, time.Time{}
+	withheld := false
 	a := x.newAttempt(choice)
 	a.BeforeSend = func() (time.Duration, error) {
-		sentAt = x.f.clock.Now()
+		x.sentAt = x.f.clock.Now()
 		timeLeft, err := x.checkSend(choice)
 		withheld = err != nil
 		return timeLeft, err
 	}
-	a.Observe = func(s amrpool.Signals, err error) { x.observe(choice, sentAt, s, err) }
+	a.Observe = func(s amrpool.Signals, err error) { x.observe(choice, x.sentAt, s, err) }
 	answer, err := x.f.backend.Send(ctx, a)
 	switch {
 	case withheld:
--- a/core/amrforward/parts.go
+++ b/core/amrforward/parts.go
@@ -78,7 +78,14 @@
 	if len(x.suspects) == 0 {
 		return
 	}
-	c := x.f.parts.CrashOf(now, server, x.fingerprint.Hash(), x.suspects)
+	begun := time.Duration(0)
+	if !x.begunAt.IsZero() {
+		begun = now.Sub(x.begunAt)
+	}
+	c := x.f.parts.CrashOf(now, server, x.fingerprint.Hash(), x.suspects, begun)
+	if len(c.Parts) == 0 {
+		return
+	}
 	message := amrgossip.PartCrash{Model: xxh3.HashString(x.request.Model), Server: c.Server, Content: c.Content}
 	for _, part := range c.Parts {
 		message.Parts = append(message.Parts, amrgossip.SuspectPart{Part: uint64(part.Key), Sound: part.Sound, AgeMS: part.Age.Milliseconds()})
@@ -97,8 +104,8 @@
 		return
 	}
 	model := xxh3.HashString(x.request.Model)
-	for _, part := range x.f.parts.RecordAnswer(now, x.suspects) {
-		x.f.reportSound(now, amrgossip.SoundPart{Model: model, Part: uint64(part)})
+	for _, part := range x.f.parts.RecordAnswer(now, x.sentAt, x.suspects) {
+		x.f.reportSound(now, amrgossip.SoundPart{Model: model, Part: uint64(part), AgeMS: now.Sub(x.sentAt).Milliseconds()})
 	}
 }
 
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -156,7 +156,6 @@
 	var splitter eventSplitter
 	resumable := x.route.Resumable
 	events := hasEvents(a.Header)
-	recorded := false
 	err := x.copyBody(a.Body, func(p []byte) error {
 		switch {
 		case resumable:
@@ -164,13 +163,15 @@
 			if len(p) == 0 {
 				return nil
 			}
-			if !recorded {
-				x.recordOrigin()
-				recorded = true
-			}
 		case events:
 			splitter.tracker.push(p)
 		}
+		if x.begunAt.IsZero() {
+			x.begunAt = x.f.clock.Now()
+			if resumable {
+				x.recordOrigin()
+			}
+		}
 		x.writeHeader(a)
 		if err := x.write(p); err != nil {
 			return err
--- a/core/amrsuspect/part.go
+++ b/core/amrsuspect/part.go
@@ -63,9 +63,13 @@
 	// whether they know the part to be sound.
 	askCrashes = 2
 
-	// minOtherAnswers is the number of other prompts that must have been answered
-	// since the first of these crashes.
-	minOtherAnswers = 10
+	// minAnswers is the number of prompts that this router must have answered to know
+	// the share of them that has a part.
+	minAnswers = 50
+
+	// BegunTime is the time after the first event of an answer from which the parts of its
+	// prompt are not suspected when the server crashes.
+	BegunTime = 250 * time.Millisecond
 
 	// askTime is the time that other routers have to reply.
 	askTime = 100 * time.Millisecond
--- a/core/amrsuspect/part_evidence.go
+++ b/core/amrsuspect/part_evidence.go
@@ -12,6 +12,9 @@
 	// other, do not.
 	sameMomentTime = 50 * time.Millisecond
 
+	// maxEvents is the maximum number of crashes that are remembered of a part.
+	maxEvents = 16
+
 	// maxEventServers is the number of servers that are remembered of such crashes.
 	maxEventServers = 64
 )
@@ -24,7 +27,6 @@
 	runs    int          // Number of runs that broke off in the events.
 	place   int          // Position of the part in the last prompt that broke off.
 	askedAt time.Time    // Time at which other routers were last asked for the part.
-	answers int          // Number of prompts that this router had answered at the first event.
 	sound   bool         // A prompt with the part has been answered before.
 }
 
@@ -56,7 +58,7 @@
 		return false
 	}
 	e.events = append(e.events, crashEvent{servers: []uint64{server}, contents: []uint64{content}, at: now})
-	if len(e.events) > minSoundCrashes {
+	if len(e.events) > maxEvents {
 		e.events = e.events[1:]
 	}
 	return true
@@ -84,18 +86,28 @@
 	})
 }
 
-// suffices reports whether the part is to be quarantined, when this router has
-// answered the given number of prompts. Other routers must have had the time to reply
-// whether the part is sound. One that was must have been in more crashes, while other
-// prompts were answered: if none is, the part is not the cause.
-func (e *partEvidence) suffices(now time.Time, answers int) bool {
+// isExplainedBy reports whether the crashes of the servers are all that there is of
+// evidence against the part.
+func (e *partEvidence) isExplainedBy(servers []uint64) bool {
+	for _, event := range e.events {
+		if !slices.ContainsFunc(event.servers, func(s uint64) bool { return slices.Contains(servers, s) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// suffices reports whether the part is to be quarantined. Other routers must have had the
+// time to reply whether the part is sound. If it was, it must have been in more crashes,
+// and so often that this is no chance.
+func (e *partEvidence) suffices(now time.Time, chance func(*partEvidence) float64) bool {
 	if len(e.events) < minPartCrashes || now.Sub(e.askedAt) < askTime {
 		return false
 	}
 	if !e.sound {
 		return e.contents() >= minPartContents
 	}
-	return len(e.events) >= minSoundCrashes && e.contents() >= minSoundContents && answers-e.answers >= minOtherAnswers
+	return len(e.events) >= minSoundCrashes && e.contents() >= minSoundContents && chance(e) <= maxChance
 }
 
 // worseThan reports whether the evidence is worse than the other: more crashes; or as
@@ -123,6 +135,11 @@
 	return len(contents)
 }
 
+// ranOn reports whether the server crashed while it was running a request with the part.
+func (e *partEvidence) ranOn(server uint64) bool {
+	return slices.ContainsFunc(e.events, func(event crashEvent) bool { return slices.Contains(event.servers, server) })
+}
+
 // servers returns the servers that crashed.
 func (e *partEvidence) servers() []uint64 {
 	var servers []uint64
--- a/core/amrsuspect/parts.go
+++ b/core/amrsuspect/parts.go
@@ -28,7 +28,8 @@
 	evidence    *lru.Cache[PartKey, *partEvidence]
 	quarantines *lru.Cache[PartKey, *partState]
 	explained   *lru.Cache[uint64, time.Time] // Servers whose last crash was caused by a quarantined part.
-	answers     int                           // Number of prompts answered here.
+	shares      *shares                       // Shares of the prompts answered here that have a part.
+	crashes     crashLog                      // Crashes that are not explained by a quarantined part.
 }
 
 // partState is the state of a part that is or was quarantined.
@@ -43,7 +44,7 @@
 	return &Parts{
 		seed: xxh3.HashString(host), answered: newPartCache[PartKey, time.Time](), asked: newPartCache[PartKey, time.Time](),
 		evidence: newPartCache[PartKey, *partEvidence](), quarantines: newPartCache[PartKey, *partState](),
-		explained: newPartCache[uint64, time.Time](),
+		explained: newPartCache[uint64, time.Time](), shares: newShares(),
 	}
 }
 
@@ -55,15 +56,19 @@
 	return cache
 }
 
-// RecordAnswer records that a prompt with the parts was answered completely. It
-// returns the parts to report to the collecting routers, because they suspect or refuse
-// them.
-func (p *Parts) RecordAnswer(now time.Time, parts []PartKey) (news []PartKey) {
+// RecordAnswer records that a prompt with the parts, which was sent to its server at the
+// given time, was answered completely. The parts count as sound at the time at which it
+// was sent: prompts that were already being answered then do not show whether servers
+// crash by beginning to answer others. RecordAnswer returns the parts to report to the
+// collecting routers, because they suspect or refuse them.
+func (p *Parts) RecordAnswer(now, sentAt time.Time, parts []PartKey) (news []PartKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answers++
+	p.shares.add(parts)
 	for _, part := range parts {
-		p.answered.Add(part, now)
+		if at, ok := p.answered.Peek(part); !ok || at.Before(sentAt) {
+			p.answered.Add(part, sentAt)
+		}
 		_, quarantined := p.quarantines.Peek(part)
 		at, asked := p.asked.Peek(part)
 		if quarantined || asked && now.Sub(at) < StrikeTTL {
@@ -74,13 +79,17 @@
 	return news
 }
 
-// CrashOf returns the report of a run that broke off. The parts that this router
-// knows to be sound are not in the report, unless all are. The result has no parts if
-// the prompt has none.
-func (p *Parts) CrashOf(now time.Time, server, content uint64, parts []PartKey) PartCrash {
+// CrashOf returns the report of a run that broke off the given time after its first event,
+// or before that. The parts that this router knows to be sound are not in the report,
+// unless all are. The result has no parts if the prompt has none, or if the run had been
+// answered for BegunTime: a server that crashes by a part does so when it begins to answer.
+func (p *Parts) CrashOf(now time.Time, server, content uint64, parts []PartKey, begun time.Duration) PartCrash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := PartCrash{Server: server, Content: content}
+	if begun >= BegunTime {
+		return c
+	}
 	var sound []SuspectPart
 	for _, part := range parts {
 		if age, ok := p.answerAge(now, part); ok {
@@ -112,12 +121,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if q, explained := p.explainedBy(now, c); explained {
-		p.explain(now, []uint64{c.Server}, noLimit)
+		p.explainServer(now, c.Server)
 		return nil, q
 	}
 	if at, ok := p.explained.Peek(c.Server); ok && now.Sub(at) < sameCrashTime {
 		return nil, nil
 	}
+	p.crashes.add(now, c.Server)
 	enough := false
 	for place, part := range c.Parts {
 		e := p.evidenceOf(now, part)
@@ -126,7 +136,7 @@
 			e.askedAt = now
 			ask = append(ask, part.Key)
 		}
-		enough = enough || e.suffices(now, p.answers)
+		enough = enough || e.suffices(now, p.chanceAt(now))
 	}
 	if !enough {
 		return ask, nil
@@ -134,23 +144,41 @@
 	worst := p.worst(now)
 	servers := worst.servers()
 	q := PartQuarantine{Part: worst.part, Level: 1, Since: now, Sound: worst.sound, Servers: servers[:min(len(servers), MaxQuarantineServers)]}
-	p.explain(now, servers, len(worst.events))
+	p.explain(now, servers)
 	p.set(q)
 	return ask, &q
 }
 
 // worst returns the worst evidence that suffices for a quarantine, or nil if there is
-// none. The caller must hold p.mu.
+// none. Parts that were not known to be sound go first. The caller must hold p.mu.
 func (p *Parts) worst(now time.Time) *partEvidence {
+	chance := p.chanceAt(now)
 	var worst *partEvidence
 	for _, e := range p.evidence.Values() {
-		if e.suffices(now, p.answers) && (worst == nil || e.worseThan(worst)) {
+		switch {
+		case !e.suffices(now, chance):
+		case worst == nil || worst.sound && !e.sound:
+			worst = e
+		case worst.sound != e.sound:
+		case e.sound && chance(e) < chance(worst) || !e.sound && e.worseThan(worst):
 			worst = e
 		}
 	}
 	return worst
 }
 
+// chanceAt returns a function that returns the probability with which a part was in so
+// many crashes by chance. The caller must hold p.mu, also when it calls the function.
+func (p *Parts) chanceAt(now time.Time) func(*partEvidence) float64 {
+	return func(e *partEvidence) float64 {
+		share, known := p.shares.of(e.part)
+		if !known || len(e.events) == 0 {
+			return 1
+		}
+		return p.crashes.chance(now, e.events[0].at, share, e.ranOn)
+	}
+}
+
 // evidenceOf returns the evidence against the part, with what this router and the
 // report know of its soundness. The caller must hold p.mu.
 func (p *Parts) evidenceOf(now time.Time, part SuspectPart) *partEvidence {
@@ -165,9 +193,6 @@
 	if age, ok := p.answerAge(now, part.Key); ok {
 		e.markSound(now.Add(-age))
 	}
-	if len(e.events) == 0 {
-		e.answers = p.answers
-	}
 	return e
 }
 
@@ -193,24 +218,29 @@
 	return nil, false
 }
 
-// noLimit is more than the number of crashes in any evidence.
-const noLimit = minSoundCrashes + 1
-
-// explain drops the crashes of the servers from the evidence against all parts, also
-// those that are still to be reported. It keeps the evidence that has as many crashes
-// as the limit or more, against parts that may have caused them as well. The caller
-// must hold p.mu.
-func (p *Parts) explain(now time.Time, servers []uint64, limit int) {
+// explain records that a quarantined part has caused the crashes of the servers. Evidence
+// against other parts that consists of these crashes alone is dropped; a part that was
+// also in other crashes may have caused all of them. The caller must hold p.mu.
+func (p *Parts) explain(now time.Time, servers []uint64) {
 	for _, server := range servers {
 		p.explained.Add(server, now)
 	}
 	for _, e := range p.evidence.Values() {
-		if len(e.events) < limit {
+		if e.isExplainedBy(servers) {
 			e.explain(servers)
 		}
 	}
 }
 
+// explainServer records that a quarantined part has caused the crash of the server, which
+// then does not count against other parts. The caller must hold p.mu.
+func (p *Parts) explainServer(now time.Time, server uint64) {
+	p.explained.Add(server, now)
+	for _, e := range p.evidence.Values() {
+		e.explain([]uint64{server})
+	}
+}
+
 // set puts the quarantine in force. The caller must hold p.mu.
 func (p *Parts) set(q PartQuarantine) {
 	p.quarantines.Add(q.Part, &partState{PartQuarantine: q})
--- a/core/amrsuspect/parts_test.go
+++ b/core/amrsuspect/parts_test.go
@@ -48,7 +48,7 @@
 	p := amrsuspect.NewParts("front-1")
 	parts := []amrsuspect.PartKey{amrsuspect.PartKeyOf("m1", "x")}
 	crash := func(server uint64) *amrsuspect.PartQuarantine {
-		_, q := p.AddCrash(now, p.CrashOf(now, server, server, parts))
+		_, q := p.AddCrash(now, p.CrashOf(now, server, server, parts, 0))
 		return q
 	}
 	var q *amrsuspect.PartQuarantine
@@ -78,7 +78,7 @@
 	now = now.Add(longer)
 	_, _, refused = p.Check(now, parts)
 	is.True(!refused)
-	is.Equal(p.RecordAnswer(now, parts), parts)
+	is.Equal(p.RecordAnswer(now, now, parts), parts)
 	is.True(p.MarkSound(now, parts[0], 0))
 	_, _, refused = p.Check(now, parts)
 	is.True(!refused)
@@ -94,7 +94,7 @@
 	p := amrsuspect.NewParts("front-1")
 	parts := []amrsuspect.PartKey{amrsuspect.PartKeyOf("m1", "x")}
 	crash := func(server, content uint64) *amrsuspect.PartQuarantine {
-		_, q := p.AddCrash(now, p.CrashOf(now, server, content, parts))
+		_, q := p.AddCrash(now, p.CrashOf(now, server, content, parts, 0))
 		return q
 	}
 	is.True(crash(1, 1) == nil)
@@ -147,6 +147,7 @@
 	simLength      = 30 * time.Second
 	simNoticeDelay = 40 * time.Millisecond // Longest delay of a message between routers.
 	simBound       = 3 * time.Second
+	simFirstEvent  = 100 * time.Millisecond // Time from the send of a request to its first event.
 	crashingID     = "crashing"
 )
 
@@ -180,6 +181,7 @@
 	ids      []string
 	crashing bool
 	retries  int
+	sentAt   time.Time // To the present server.
 }
 
 type simEvent struct {
@@ -293,6 +295,7 @@
 	i := up[s.random.IntN(len(up))]
 	server := &s.servers[i]
 	server.running = append(server.running, r)
+	r.sentAt = s.now
 	incarnation := server.incarnation
 	if r.crashing {
 		if s.crashes >= 5 && s.now.Sub(s.fifthCrash) > simBound {
@@ -351,18 +354,26 @@
 }
 
 func (s *partsSimulation) answered(r *simRequest) {
-	for _, part := range s.routers[r.router].RecordAnswer(s.now, s.keys(r)) {
-		s.reportSound(part, 0)
+	for _, part := range s.routers[r.router].RecordAnswer(s.now, r.sentAt, s.keys(r)) {
+		s.reportSound(part, s.now.Sub(r.sentAt))
 	}
 }
 
 func (s *partsSimulation) brokeOff(r *simRequest, server uint64) {
-	c := s.routers[r.router].CrashOf(s.now, server, r.content, s.keys(r))
+	c := s.routers[r.router].CrashOf(s.now, server, r.content, s.keys(r), s.now.Sub(r.sentAt)-simFirstEvent)
 	for i := range simCollectors {
-		s.notify(func() { s.collect(i, c) })
+		if len(c.Parts) > 0 {
+			s.notify(func() { s.collect(i, c) })
+		}
 	}
+	s.retry(r)
+}
+
+// retry sends a request again that broke off.
+func (s *partsSimulation) retry(r *simRequest) {
 	if r.retries < simRetries {
 		r.retries++
+		r.crashing = r.crashing || slices.Contains(r.ids, crashingID) // The part may have been sound when it was sent first.
 		s.send(r)
 	}
 }
