--- a/core/amrsuspect/crash_log.go
+++ b/core/amrsuspect/crash_log.go
@@ -48,11 +48,6 @@
 	l.records = append(l.records, crashRecord{server: server, at: now, runs: 1})
 }
 
-// drop drops the crashes of the servers, whose cause is known.
-func (l *crashLog) drop(servers []uint64) {
-	l.records = slices.DeleteFunc(l.records, func(r crashRecord) bool { return slices.Contains(servers, r.server) })
-}
-
 // chance returns the probability that a part which is in the given share of all prompts
 // was running in as many of the crashes since the time as it was, if it does not cause
 // them: in each crash, some of the runs that broke off had the part or not, independently
--- a/core/amrsuspect/parts.go
+++ b/core/amrsuspect/parts.go
@@ -29,7 +29,7 @@
 	quarantines *lru.Cache[PartKey, *partState]
 	explained   *lru.Cache[uint64, time.Time] // Servers whose last crash was caused by a quarantined part.
 	shares      *shares                       // Shares of the prompts answered here that have a part.
-	crashes     crashLog                      // Crashes that are not explained by a quarantined part.
+	crashes     crashLog                      // Latest crashes, by all reports.
 }
 
 // partState is the state of a part that is or was quarantined.
