--- a/core/amrpool/limit.go
+++ b/core/amrpool/limit.go
@@ -42,12 +42,13 @@
 	// sent may be made up at once.
 	limitBurst = 500 * time.Millisecond
 
-	// maxTurn is the longest time after which a caller is told to come back because of
-	// limits.
+	// minTurn and maxTurn are the shortest and the longest time after which a caller is
+	// told to come back because of limits.
+	minTurn = 20 * time.Millisecond
 	maxTurn = 5 * time.Second
 
 	// announceInterval is the minimum time between two announcements of a limit that
-	// has not changed to routers that seem not to know it.
+	// has not changed, to routers that seem not to know it.
 	announceInterval = 250 * time.Millisecond
 )
 
@@ -117,10 +118,6 @@
 	return later(due, s.nextTurn)
 }
 
-// minTurn is the shortest time after which a caller is told to come back because of
-// limits.
-const minTurn = 20 * time.Millisecond
-
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -189,11 +186,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	signals := f.signals.of(n.Server, n.Started)
-	limit, replaced := signals.limit.updated(n.limit())
 	s := f.byID[n.Server]
 	if s != nil && !s.Started.Equal(n.Started) {
 		s = nil
 	}
+	if s != nil {
+		signals = s.signals // Has later statements of the same limit, too.
+	}
+	limit, replaced := signals.limit.updated(n.limit())
 	if !replaced {
 		if s != nil && limit.perSecond != n.PerSecond {
 			f.announceLimitAgain(now, s, limit)
@@ -204,7 +204,7 @@
 	signals.limit = limit
 	f.signals.put(n.Server, signals)
 	if s != nil {
-		s.signals.limit = limit
+		s.signals = signals
 	}
 	return changed
 }
--- a/core/amrpool/pool_test.go
+++ b/core/amrpool/pool_test.go
@@ -37,6 +37,10 @@
 //	                                the server sends signals in a response to a request
 //	                                that was sent the given time before
 //	limit NAME                      prints the limit of the server
+//	heard-limit NAME STARTED limit=N|limit=none [sent=DURATION]
+//	                                another router was told of a limit in the response to a
+//	                                request that was sent the given time before
+//	limits                          prints the number of limits to announce
 //	allowed ID                      prints whether the request may still be sent
 //	heard-leaving NAME STARTED      another router reports a leaving server
 //	leaving                         prints the number of leaving servers to announce
@@ -152,6 +156,15 @@
 			}
 		}
 		return "unknown"
+	case "heard-limit":
+		sent, _ := time.ParseDuration(optionValue(words, "sent"))
+		limit := parseLimit(t, words)
+		changed := s.fleet.ApplyLimit(now, amrpool.LimitNotice{
+			Server: amrpool.IDOf(words[0]), Started: time.UnixMilli(int64(parseInt(t, words[1]))), PerSecond: limit.PerSecond, SentAt: now.Add(-sent), ReceivedAt: now,
+		})
+		return strconv.FormatBool(changed)
+	case "limits":
+		return strconv.Itoa(len(s.fleet.TakeLimits()))
 	case "allowed":
 		return strconv.FormatBool(s.choices[words[0]].Allowed(now))
 	case "heard-leaving":
@@ -438,7 +451,7 @@
 
 // parseResult returns the result with the given text.
 func parseResult(t *testing.T, text string) amrpool.Result {
-	for r := amrpool.Completed; r <= amrpool.Canceled; r++ {
+	for r := amrpool.Completed; r <= amrpool.Withheld; r++ {
 		if r.String() == text {
 			return r
 		}
