Find the newest refusals, whatever the asked router has in memory

Only refusals newer than the next minute to read end the search now. TestFindNewestRefusals failed before.

--- a/core/amrexplain/explain_test.go
+++ b/core/amrexplain/explain_test.go
@@ -117,6 +117,39 @@
 	})
 }
 
+// TestFindNewestRefusals guards against a search that stops at its limit because the router
+// still has older refusals in memory, and leaves out newer ones of other routers.
+func TestFindNewestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		platform := amrmemory.New()
+		start := clock.Now()
+		add := func(r *amrexplain.Recorder, ids *amrexplain.IDGenerator, team string) {
+			r.Add(refusal(ids.Next(clock.Now()), clock.Now().UTC(), team, amrreason.Overloaded))
+		}
+		asked, askedIDs := amrexplain.NewRecorder("router-1", "a1", platform, clock), amrexplain.NewIDGenerator("router-1", "a1")
+		for range 3 {
+			add(asked, askedIDs, "older")
+		}
+		clock.Sleep(5 * time.Minute)
+		other, otherIDs := amrexplain.NewRecorder("router-2", "b1", platform, clock), amrexplain.NewIDGenerator("router-2", "b1")
+		for range 2 {
+			add(other, otherIDs, "newer")
+			clock.Sleep(2 * time.Minute)
+		}
+		is.NoErr(other.Flush(t.Context()))
+
+		found, err := asked.FindRefusals(t.Context(), amrexplain.RefusalQuery{Since: start, Until: clock.Now(), Limit: 2})
+		is.NoErr(err)
+		is.Equal(len(found.Decisions), 2)
+		for _, d := range found.Decisions {
+			is.Equal(d.Team, "newer")
+		}
+		is.True(!found.Complete)
+	})
+}
+
 // TestOutage checks that a recorder keeps the newest decisions while the object store
 // is down, counts those that it drops, and writes the others after the outage.
 func TestOutage(t *testing.T) {
--- a/core/amrexplain/find.go
+++ b/core/amrexplain/find.go
@@ -113,7 +113,7 @@
 func (r *Recorder) searchObjects(ctx context.Context, q RefusalQuery, found map[string]Decision) (bool, error) {
 	objects := 0
 	for minute := q.Until.Unix() / 60; minute >= q.Since.Unix()/60; minute-- {
-		if objects >= searchLimit || q.Limit > 0 && len(found) >= q.Limit {
+		if objects >= searchLimit || q.Limit > 0 && countAfter(found, minute) >= q.Limit {
 			return false, nil
 		}
 		keys, err := r.objects.ListObjects(ctx, minutePrefix(refusalPrefix, minute), "", searchLimit)
@@ -136,6 +136,18 @@
 	return true, nil
 }
 
+// countAfter returns the number of decisions on requests that arrived after the minute.
+// Those in memory may be older than what the object store has of other routers.
+func countAfter(found map[string]Decision, minute int64) int {
+	n := 0
+	for _, d := range found {
+		if d.At.Unix()/60 > minute {
+			n++
+		}
+	}
+	return n
+}
+
 // read returns the decisions in the object with the key.
 func (r *Recorder) read(ctx context.Context, key string) ([]Decision, error) {
 	data, err := r.objects.GetObject(ctx, key)
