--- a/core/amrexplain/explain_test.go
+++ b/core/amrexplain/explain_test.go
@@ -150,6 +150,27 @@
 	})
 }
 
+// TestFindManyRefusals guards against a search that reports to be complete although it has
+// not read all objects of a minute.
+func TestFindManyRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const objects = 1001 // One more than a search reads of a minute.
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		platform := amrmemory.New(amrmemory.WithRates(0, 0))
+		start := clock.Now()
+		ids := amrexplain.NewIDGenerator("router-1", "a1")
+		r := amrexplain.NewRecorder("router-1", "a1", platform, clock)
+		for range objects {
+			r.Add(refusal(ids.Next(start), start.UTC(), "team", amrreason.Overloaded))
+			is.NoErr(r.Flush(t.Context()))
+		}
+		found, err := amrexplain.NewRecorder("router-2", "b1", platform, clock).FindRefusals(t.Context(), amrexplain.RefusalQuery{Since: start, Until: clock.Now()})
+		is.NoErr(err)
+		is.True(len(found.Decisions) == objects || !found.Complete)
+	})
+}
+
 // TestOutage checks that a recorder keeps the newest decisions while the object store
 // is down, counts those that it drops, and writes the others after the outage.
 func TestOutage(t *testing.T) {
--- a/core/amrexplain/find.go
+++ b/core/amrexplain/find.go
@@ -109,7 +109,7 @@
 // searchObjects adds to found the refusals in the object store that the query
 // selects, beginning with the newest minute. It reports whether it read all
 // objects between Since and Until, rather than stopped at a limit. It reads at most
-// searchLimit objects of one minute and does not report whether there are more.
+// searchLimit objects of one minute.
 func (r *Recorder) searchObjects(ctx context.Context, q RefusalQuery, found map[string]Decision) (bool, error) {
 	objects := 0
 	for minute := q.Until.Unix() / 60; minute >= q.Since.Unix()/60; minute-- {
@@ -131,6 +131,9 @@
 				}
 			}
 		}
+		if len(keys) == searchLimit { // There may be more.
+			return false, nil
+		}
 		objects += len(keys) + 1
 	}
 	return true, nil
