Split the messages of collectors and origins from the exchange

What is sent to the routers that collect reports is in collectors.go now, and the origins of streams in origins.go; nothing else changed.

--- a/core/amrgossip/exchange.go
+++ b/core/amrgossip/exchange.go
@@ -9,9 +9,7 @@
 package amrgossip
 
 import (
-	"cmp"
 	"context"
-	"encoding/binary"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -39,17 +37,6 @@
 	// within it are passed on together.
 	factsInterval = 20 * time.Millisecond
 
-	// collectors is the number of routers that collect the strikes of a request, or
-	// the crashes of the servers of a model.
-	collectors = 2
-
-	// maxCrashes is the maximum number of crashes in one message, which keeps it
-	// within maxDatagram. Each has at most MaxSuspectParts parts.
-	maxCrashes = 8
-
-	// MaxSuspectParts is the maximum number of parts of a PartCrash.
-	MaxSuspectParts = 5
-
 	// placementReserve is the share of the budget that is reserved for facts.
 	placementReserve = 0.5
 )
@@ -108,14 +95,6 @@
 	SendCommon()
 }
 
-// Origins handles the messages by which routers tell each other which software versions
-// began streams.
-type Origins interface {
-	HandleOrigins(origins []StreamOrigin)
-	HandleOriginQuery(q OriginQuery) OriginReply
-	HandleOriginReply(r OriginReply)
-}
-
 // IDOf returns the ID of the named host.
 func IDOf(host string) HostID {
 	return HostID(xxh3.HashString(host))
@@ -161,12 +140,6 @@
 	return func(e *Exchange) { e.placements = p }
 }
 
-// WithOrigins sets the handler of the origins of streams. Without one, such messages are
-// ignored.
-func WithOrigins(o Origins) Option {
-	return func(e *Exchange) { e.origins = o }
-}
-
 // WithRegisterer sets the registerer of the exchange's metrics.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(e *Exchange) { e.metrics = newMetrics(r) }
@@ -301,23 +274,6 @@
 	}
 }
 
-// handleOrigins handles what a message tells or asks of the origins of streams.
-func (e *Exchange) handleOrigins(m message) {
-	if e.origins == nil {
-		return
-	}
-	if len(m.Origins) > 0 {
-		e.origins.HandleOrigins(m.Origins)
-	}
-	if m.OriginReply != nil {
-		e.origins.HandleOriginReply(*m.OriginReply)
-	}
-	if m.OriginQuery != nil {
-		reply := e.origins.HandleOriginQuery(*m.OriginQuery)
-		e.send(m.From, message{OriginReply: &reply}, kindFacts)
-	}
-}
-
 // handleFacts applies the facts that are news and passes them on.
 func (e *Exchange) handleFacts(now time.Time, f Facts) {
 	e.mu.Lock()
@@ -357,83 +313,6 @@
 	}
 }
 
-// report sends reports to the routers that collect them.
-func (e *Exchange) report() {
-	byHost := make(map[HostID]*Reports)
-	add := func(key uint64, add func(*Reports)) {
-		for _, host := range e.collectorsOf(key) {
-			if byHost[host] == nil {
-				byHost[host] = &Reports{}
-			}
-			add(byHost[host])
-		}
-	}
-	reports := e.state.TakeReports()
-	for _, s := range reports.Strikes {
-		add(xxh3.Hash(s.Fingerprint[:]), func(r *Reports) { r.Strikes = append(r.Strikes, s) })
-	}
-	for _, c := range reports.Crashes {
-		add(c.Model, func(r *Reports) { r.Crashes = append(r.Crashes, c) })
-	}
-	for _, p := range reports.Sound {
-		add(p.Model, func(r *Reports) { r.Sound = append(r.Sound, p) })
-	}
-	for host, r := range byHost {
-		if host == e.host {
-			e.state.ApplyReports(e.clock.Now(), *r)
-			continue
-		}
-		e.sendReports(host, *r)
-	}
-}
-
-// sendReports sends reports to another router.
-func (e *Exchange) sendReports(to HostID, r Reports) {
-	for some := range slices.Chunk(r.Strikes, maxFactItems) {
-		e.send(to, message{Reports: some}, kindFacts)
-	}
-	for some := range slices.Chunk(r.Crashes, maxCrashes) {
-		e.send(to, message{Crashes: some}, kindFacts)
-	}
-	for some := range slices.Chunk(r.Sound, maxFactItems) {
-		e.send(to, message{Sound: some}, kindFacts)
-	}
-}
-
-// collectorsOf returns the routers that collect the reports with the key, by
-// rendezvous hashing over all routers.
-func (e *Exchange) collectorsOf(key uint64) []HostID {
-	return first(append(e.others(), e.host), key, collectors)
-}
-
-// RoutersFor returns up to n other routers, by their rank for the key in rendezvous
-// hashing.
-func (e *Exchange) RoutersFor(key uint64, n int) []HostID {
-	return first(e.others(), key, n)
-}
-
-// others returns the other routers.
-func (e *Exchange) others() []HostID {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var hosts []HostID
-	for _, p := range e.peers {
-		hosts = append(hosts, p.host)
-	}
-	return hosts
-}
-
-// first returns up to n of the hosts, by their rank for the key in rendezvous hashing.
-func first(hosts []HostID, key uint64, n int) []HostID {
-	slices.SortFunc(hosts, func(a, b HostID) int { return cmp.Compare(rank(b, key), rank(a, key)) })
-	return hosts[:min(n, len(hosts))]
-}
-
-// rank returns the rank of the host for the key in rendezvous hashing.
-func rank(host HostID, key uint64) uint64 {
-	return xxh3.HashSeed(binary.LittleEndian.AppendUint32(nil, uint32(host)), key)
-}
-
 // spreadOnce passes facts on to fanout different routers, and reports whether there
 // are more.
 func (e *Exchange) spreadOnce() bool {
@@ -477,18 +356,6 @@
 	return e.send(to, message{Query: &q, Updates: updates, Software: q.Software}, kindPlacement)
 }
 
-// SendOrigins tells the router on the host which software versions began streams, and
-// reports whether the message was sent.
-func (e *Exchange) SendOrigins(to HostID, origins []StreamOrigin) bool {
-	return e.send(to, message{Origins: origins}, kindFacts)
-}
-
-// SendOriginQuery asks the router on the host which software version began a stream, and
-// reports whether the query was sent.
-func (e *Exchange) SendOriginQuery(to HostID, q OriginQuery) bool {
-	return e.send(to, message{OriginQuery: &q}, kindFacts)
-}
-
 // SendUpdates sends updates to the router on the host, and reports whether they were
 // sent.
 func (e *Exchange) SendUpdates(to HostID, updates []Update) bool {
