Do not refuse a stream that its caller takes up because servers are busy

Only servers of one software version can go on with it, and the caller has a part of it already; a new request has other servers to go to. As for repeated sends, the wait for the prefill is not limited.

--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -364,9 +364,9 @@
 	r.Parts = x.request.Parts
 	r.PromptTokens = x.request.PromptTokens
 	r.OutputTokens = x.request.OutputTokens
-	if len(x.sends) == 0 {
+	if len(x.sends) == 0 && x.software == 0 {
 		// A request that waits longer misses the latency goal of its route, and
-		// delays the requests behind it.
+		// delays the requests behind it. A stream that has begun goes on nonetheless.
 		r.MaxWait = x.route.LatencyGoal
 	}
 	if x.team != nil {
