--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -72,7 +72,7 @@
 	choice        *amrpool.Choice    // Server of the last attempt.
 	sentAt        time.Time          // Time at which the last attempt was sent.
 	begunAt       time.Time          // Time at which the stream of the last attempt was first written to the caller; zero before that.
-	software      amrpool.SoftwareID // Version of the software that began the stream; 0 if no event has been received.
+	software      amrpool.SoftwareID // Version of the software that began the stream; 0 while none has.
 	firstByte     time.Time
 	status        int
 	writeErr      error
