Count streams taken up only where servers of their version serve

Traced: router-1 had been killed and had passed on the crashes of a part; all engines of the streams' software version had crashed within the last second and rejected what they got, so the refusals were true and the users' rule, which asks for two servers of the version that serve, does not apply. Requests that a server has rejected do not count in this check any more; those that routers refuse by themselves do (TestCheckTakenUp).

--- a/standin/amrsoak/checker.go
+++ b/standin/amrsoak/checker.go
@@ -71,6 +71,7 @@
 	refused bool // Whether it is not repeatable and its answer promises that it does not run.
 	runs    int  // Number of runs that began at servers.
 
+	rejected      bool     // A server has rejected it.
 	begunAt       string   // Software version of the server that began the stream; empty until the answer has ended.
 	wentOnAt      []string // Servers that went on with the stream.
 	leavingServer string   // The server that ran it last, if that told that it is leaving.
--- a/standin/amrsoak/signals.go
+++ b/standin/amrsoak/signals.go
@@ -60,6 +60,7 @@
 	if tracked == nil {
 		return // A report or an order.
 	}
+	tracked.rejected = true
 	now := c.clock.Now()
 	l := link{tracked.router, server}
 	c.checkPause(l, now)
--- a/standin/amrsoak/takeup_test.go
+++ b/standin/amrsoak/takeup_test.go
@@ -83,3 +83,26 @@
 		})
 	}
 }
+
+// TestCheckTakenUp checks that the Checker reports routers which refuse streams that callers
+// take up, and not those whose servers reject them.
+func TestCheckTakenUp(t *testing.T) {
+	for _, rejected := range []bool{false, true} {
+		t.Run(fmt.Sprint("rejected=", rejected), func(t *testing.T) {
+			is := is.New(t)
+			s := newCheckerTest(amrsite.ResumableStreamRoute, permanentKey)
+			for range minTakenUp {
+				s.send(amrsite.ResumableStreamRoute, permanentKey)
+				s.run("a")
+				s.answer(200, "stamp-of-a", amrsite.StreamBody(2))
+				s.tracked = s.recordSend(amrsite.Request{ID: "r2", Route: amrsite.ResumableStreamRoute, Key: permanentKey, Resumes: "r", LastEventID: "1"}, "router-1")
+				if rejected {
+					s.checkRejection("a", "r2", "")
+				}
+				s.answer(503, "", "")
+			}
+			s.checkTakenUp()
+			is.Equal(len(s.Violations()) == 0, rejected)
+		})
+	}
+}
