--- a/core/amrsuspect/part_evidence.go
+++ b/core/amrsuspect/part_evidence.go
@@ -64,8 +64,8 @@
 	return true
 }
 
-// markSound records that a prompt with the part was answered at the given time.
-// Crashes before that do not count.
+// markSound records that a prompt with the part, which was sent at the given time, was
+// answered. Crashes before that do not count.
 func (e *partEvidence) markSound(at time.Time) {
 	e.sound = true
 	e.drop(func(old crashEvent) bool { return !old.at.After(at) })
--- a/core/amrsuspect/parts.go
+++ b/core/amrsuspect/parts.go
@@ -23,7 +23,7 @@
 	seed uint64 // Differs between routers.
 
 	mu          sync.Mutex
-	answered    *lru.Cache[PartKey, time.Time] // Time at which a prompt with the part was last answered here.
+	answered    *lru.Cache[PartKey, time.Time] // Time at which the last prompt with the part was sent that was answered here.
 	asked       *lru.Cache[PartKey, time.Time] // Time at which another router last asked for the part.
 	evidence    *lru.Cache[PartKey, *partEvidence]
 	quarantines *lru.Cache[PartKey, *partState]
@@ -257,10 +257,11 @@
 	return p.answerAge(now, part)
 }
 
-// MarkSound handles the report of a router that answered a prompt with the part the
-// given time ago. It reports whether that lifts the quarantine of the part, which must
-// then be announced to all routers. It does if the answer is later than the quarantine,
-// or if the part was quarantined in the belief that no prompt with it had been answered.
+// MarkSound handles the report of a router that answered a prompt with the part, which it
+// had sent the given time ago. It reports whether that lifts the quarantine of the part,
+// which must then be announced to all routers. It does if the prompt was sent after the
+// quarantine began, or if the part was quarantined in the belief that no prompt with it had
+// been answered.
 func (p *Parts) MarkSound(now time.Time, part PartKey, age time.Duration) (lifted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
