--- a/core/amrsuspect/parts_test.go
+++ b/core/amrsuspect/parts_test.go
@@ -47,6 +47,14 @@
 		1030, 1058, 1065, 1079, 1090, 1091, 1105, 1108, 1109, 1120, 1146, 1160, 1181)
 }
 
+// TestPartsUnderLoadOtherSeeds is TestPartsUnderLoad with the seeds from 1000 to 1199 that
+// exceed a bound.
+func TestPartsUnderLoadOtherSeeds(t *testing.T) {
+	checkParts(t, partsLoad{warmUp: 5 * time.Second, crashingPart: 1, crashingRate: 1}, 1069)
+	checkParts(t, partsLoad{warmUp: 5 * time.Second, crashingPart: 1, crashingRate: 50}, 1111)
+	checkParts(t, partsLoad{warmUp: time.Second, crashingPart: 1, crashingRate: 10}, 1109)
+}
+
 // firstSeeds returns the seeds from 0 to 29.
 func firstSeeds() []uint64 {
 	var seeds []uint64
