--- /dev/null
+++ b/review/standin/runner.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// runner is a stand-in of a backend server (the pages say runner), as PROTOCOL.md describes it.
+type runner struct {
+	id, service, model, software, zone string
+	store                              *store
+	address                            string
+	work                               time.Duration // Time that a plain request takes.
+	events                             int           // Events of a stream.
+	pause                              time.Duration // Between events.
+	endless                            int           // Bytes per second of an event without end, after the second event of each stream; 0 for none.
+	record                             *record
+	seq                                int
+	born                               time.Time
+
+	listener net.Listener
+	server   *http.Server
+	mu       sync.Mutex
+	sick     atomic.Bool // The runner is in trouble now: it sends events without end.
+	running  atomic.Int64
+	stop     chan struct{}
+	weights  atomic.Int64
+	orders   []orderSeen
+}
+
+type orderSeen struct {
+	Holder  string
+	Fence   uint64
+	Version int
+	At      time.Time
+}
+
+func (r *runner) start() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cannotRun("runner: %v", err)
+	}
+	r.listener, r.address, r.born, r.stop = l, l.Addr().String(), time.Now(), make(chan struct{})
+	r.weights.Store(1)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /amaranthreach/report", r.report)
+	mux.HandleFunc("/", r.run)
+	r.server = &http.Server{Handler: mux}
+	go r.server.Serve(l)
+	r.list("ready")
+	go func() {
+		for {
+			select {
+			case <-r.stop:
+				return
+			case <-time.After(1200 * time.Millisecond):
+				r.list("ready")
+			}
+		}
+	}()
+}
+
+// list writes the entry of the runner in the platform's store. The entry changes with the
+// heartbeat only.
+func (r *runner) list(state string) {
+	r.mu.Lock()
+	r.seq++
+	entry := map[string]any{
+		"service": r.service, "addr": r.address, "zone": r.zone, "version": r.software, "slots": 128,
+		"state": state, "coldLeftMs": 0, "seq": r.seq, "born": r.born.UnixMilli(),
+	}
+	if r.model != "" {
+		entry["stage"] = "colocated"
+		entry["models"] = []any{map[string]any{"name": r.model, "version": r.weights.Load(), "adapters": []any{}}}
+	}
+	r.mu.Unlock()
+	r.store.put("servers", r.id, entry)
+}
+
+// crash ends the runner: its connections are reset and it is silent in the store. Its entry
+// is removed after three heartbeats.
+func (r *runner) crash() {
+	close(r.stop)
+	r.server.Close()
+	time.AfterFunc(3600*time.Millisecond, func() { r.store.drop("servers", r.id) })
+}
+
+// drain is a planned end: the runner reports that it is draining, serves for the given time
+// and exits, which ends its connections. Then it removes its entry.
+func (r *runner) drain(serve time.Duration) {
+	close(r.stop)
+	r.list("draining")
+	time.Sleep(serve)
+	r.server.Close()
+	r.store.drop("servers", r.id)
+	r.record.add("runner %s has left", r.id)
+}
+
+func (r *runner) report(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":false,"seq":0,"waiting":0,"running":%d,"kvUsed":0,"kvTotal":119837,"handles":0,"born":%d}`, r.model, r.weights.Load(), r.running.Load(), r.born.UnixMilli())
+}
+
+func (r *runner) run(w http.ResponseWriter, q *http.Request) {
+	io.Copy(io.Discard, q.Body)
+	id := q.Header.Get("Amaranthreach-Attempt-Id")
+	h := w.Header()
+	h.Set("Amaranthreach-Attempt-Id", id)
+	h.Set("Amaranthreach-Instance-Id", r.id)
+	if want := q.Header.Get("Amaranthreach-Expect-Instance"); want != "" && want != r.id {
+		w.WriteHeader(421)
+		return
+	}
+	if want := q.Header.Get("Amaranthreach-Expect-Version"); want != "" && want != strconv.FormatInt(r.weights.Load(), 10) {
+		w.WriteHeader(421)
+		return
+	}
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	r.record.add("run id=%s server=%s service=%s software=%s path=%s last-event-id=%q", id, r.id, r.service, r.software, q.URL.Path, q.Header.Get("Last-Event-Id"))
+	r.record.ran(id, run{r, time.Now(), q.Header.Get("Last-Event-Id")})
+	h.Set("Amaranthreach-Server-Stamp", "stamp."+r.id+"."+id)
+	h.Set("Amaranthreach-Instance-Load", fmt.Sprintf("%d,0,128", r.running.Load()))
+	if r.model == "" {
+		time.Sleep(r.work)
+		body := "result of " + id + " at " + r.id + "\n"
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		io.WriteString(w, body)
+		r.record.add("ran id=%s server=%s", id, r.id)
+		return
+	}
+	h.Set("Amaranthreach-Weight-Versions", strconv.FormatInt(r.weights.Load(), 10))
+	h.Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	flush := http.NewResponseController(w).Flush
+	for n := last + 1; n <= r.events; n++ {
+		if n > last+2 && r.endless > 0 && r.sick.Load() {
+			r.flood(w, q, id, n)
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, r.software); err != nil {
+			return
+		}
+		flush()
+		select {
+		case <-q.Context().Done():
+			r.record.add("cancelled id=%s server=%s", id, r.id)
+			return
+		case <-time.After(r.pause):
+		}
+	}
+	r.record.add("ran id=%s server=%s", id, r.id)
+}
+
+// flood sends bytes that are no answer, without end, until the caller closes the connection.
+func (r *runner) flood(w http.ResponseWriter, q *http.Request, id string, n int) {
+	r.record.add("endless id=%s server=%s after-event=%d", id, r.id, n-1)
+	const steps = 50 // A second.
+	block := make([]byte, r.endless/steps)
+	for i := range block {
+		block[i] = 'x'
+	}
+	sent := 0
+	begun := time.Now()
+	fmt.Fprintf(w, "data: ")
+	for i := 1; ; i++ {
+		m, err := w.Write(block)
+		sent += m
+		if err != nil {
+			break
+		}
+		time.Sleep(time.Until(begun.Add(time.Duration(i) * time.Second / steps)))
+	}
+	r.record.add("endless-closed id=%s server=%s bytes=%d after-ms=%d", id, r.id, sent, time.Since(begun).Milliseconds())
+}
