--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -31,6 +31,7 @@
 	cmd       *exec.Cmd
 	startedAt time.Time
 	ends      []processEnd // Ends that the case did not order.
+	stopping  bool         // The case has sent SIGTERM.
 	stopped   bool
 	peakMB    int
 	done      chan struct{}
@@ -153,7 +154,7 @@
 		cannotRun("cannot start %s: %v", words[0], err)
 	}
 	p.mu.Lock()
-	p.cmd, p.startedAt = cmd, time.Now()
+	p.cmd, p.startedAt, p.stopping = cmd, time.Now(), false
 	p.mu.Unlock()
 	p.record.add("start machine=%s pid=%d", p.name, cmd.Process.Pid)
 }
@@ -186,7 +187,7 @@
 		}
 		p.mu.Lock()
 		stopped := p.stopped
-		if !stopped {
+		if !stopped && !p.stopping {
 			p.ends = append(p.ends, processEnd{time.Now(), why})
 		}
 		p.mu.Unlock()
@@ -228,6 +229,23 @@
 	p.record.add("signal machine=%s signal=%v", p.name, s)
 }
 
+// terminate stops the process as planned: SIGTERM, and SIGKILL after the grace of 8 s. It is
+// started again after its end.
+func (p *process) terminate() {
+	p.mu.Lock()
+	p.stopping = true
+	cmd := p.cmd
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+	time.AfterFunc(8*time.Second, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cmd == cmd {
+			cmd.Process.Kill() // Fails if it has ended.
+		}
+	})
+}
+
 // end ends the process for good.
 func (p *process) end() {
 	p.mu.Lock()
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -31,6 +32,8 @@
 	running  atomic.Int64
 	stop     chan struct{}
 	weights  atomic.Int64
+	loading  bool
+	accepted int // Orders, which the runner counts as seq.
 	orders   []orderSeen
 }
 
@@ -50,6 +53,7 @@
 	r.weights.Store(1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /amaranthreach/report", r.report)
+	mux.HandleFunc("POST /amaranthreach/order", r.order)
 	mux.HandleFunc("/", r.run)
 	r.server = &http.Server{Handler: mux}
 	go r.server.Serve(l)
@@ -104,7 +108,57 @@
 
 func (r *runner) report(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":false,"seq":0,"waiting":0,"running":%d,"kvUsed":0,"kvTotal":119837,"handles":0,"born":%d}`, r.model, r.weights.Load(), r.running.Load(), r.born.UnixMilli())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":%v,"seq":%d,"waiting":0,"running":%d,"kvUsed":0,"kvTotal":119837,"handles":0,"born":%d}`, r.model, r.weights.Load(), r.loading, r.accepted, r.running.Load(), r.born.UnixMilli())
+}
+
+// loadTime is the time in which a runner loads new weights, according to the sheet.
+const loadTime = 540 * time.Millisecond
+
+// order carries out an order for new weights. It does not check fences.
+func (r *runner) order(w http.ResponseWriter, q *http.Request) {
+	var o struct {
+		Op, Model, Mode, Holder string
+		Version                 int64
+		Fence                   uint64
+		Expected                *int
+	}
+	err := json.NewDecoder(q.Body).Decode(&o)
+	if want := q.Header.Get("Amaranthreach-Expect-Instance"); want != "" && want != r.id {
+		w.WriteHeader(421)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := 202
+	switch {
+	case err != nil || o.Op != "version" || o.Holder == "" || o.Fence == 0:
+		status = 400
+	case o.Version == r.weights.Load() && !r.loading:
+		status = 200
+	case r.loading || o.Expected != nil && *o.Expected != r.accepted:
+		status = 409
+	default:
+		r.accepted++
+		r.loading = true
+		time.AfterFunc(loadTime, func() {
+			r.mu.Lock()
+			r.loading = false
+			r.weights.Store(o.Version)
+			r.mu.Unlock()
+		})
+	}
+	r.orders = append(r.orders, orderSeen{o.Holder, o.Fence, int(o.Version), time.Now()})
+	r.record.add("order server=%s holder=%s fence=%d version=%d -> %d", r.id, o.Holder, o.Fence, o.Version, status)
+	w.WriteHeader(status)
+}
+
+// ordersSeen returns the orders that arrived.
+func (r *runner) ordersSeen() []orderSeen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]orderSeen(nil), r.orders...)
 }
 
 func (r *runner) run(w http.ResponseWriter, q *http.Request) {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -22,6 +22,10 @@
 	ver     uint64
 	rows    map[rowName]rowState
 	history []rowChange
+	dropped uint64                     // Version up to which the history is no longer available.
+	deaf    bool                       // Watches hear nothing.
+	epoch   int                        // Rises when watches are cut.
+	onTold  func(viewer, table string) // Called, with mu held, when a watch is told of a change; may be nil.
 	changed chan struct{}
 	cut     map[string]bool // Viewers whose calls get no answer.
 	rewrite map[string][]string
@@ -95,6 +99,15 @@
 	s.wake()
 }
 
+// compact discards the history so far, and cuts the watches, which hear again from then on.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.dropped, s.deaf = nil, s.ver, false
+	s.epoch++
+	s.wake()
+}
+
 // replace replaces texts in the values that the viewer reads: pairs of old and new ones.
 func (s *store) replace(viewer string, pairs ...string) {
 	s.mu.Lock()
@@ -213,24 +226,37 @@
 		return
 	}
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	epoch := s.epoch
+	s.mu.Unlock()
 	for expired := false; ; {
 		if s.silent(viewer, r) {
 			return
 		}
 		s.mu.Lock()
 		changed := s.changed
-		if after > s.ver {
+		if after > s.ver || after < s.dropped {
 			w.Header().Set("Store-Era", strconv.Itoa(s.era))
 			w.WriteHeader(410)
 			s.mu.Unlock()
 			return
 		}
+		if epoch != s.epoch {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		var rows []rowWire
 		for _, c := range s.history {
+			if s.deaf {
+				break
+			}
 			if c.name.table == q.Get("table") && c.state.ver > after {
 				rows = append(rows, s.wire(viewer, c.name, c.state, c.deleted))
 			}
 		}
+		if s.onTold != nil && len(rows) > 0 {
+			s.onTold(viewer, q.Get("table"))
+		}
 		if len(rows) > 0 || expired {
 			s.answer(viewer, w, 200, false, rows)
 			s.mu.Unlock()
