--- a/review/standin/net.go
+++ b/review/standin/net.go
@@ -99,12 +99,14 @@
 }
 
 // connect gives the machines addresses in the store, and connects each pair of them by a
-// link. It returns the links of each machine.
+// link. It returns the links of each machine. The only seed is down, so that the machines know
+// each other from the store alone: from another machine's copy they would learn addresses that
+// pass the links by.
 func (t *trial) connect() map[string][]*link {
 	links := map[string][]*link{}
+	seeds := freePorts(1, "tcp")
 	for _, p := range t.machines {
-		p.storeAddress = t.store.serve(p.name)
-		p.seeds = []string{p.peers}
+		p.storeAddress, p.seeds = t.store.serve(p.name), seeds
 	}
 	for i, a := range t.machines {
 		for _, b := range t.machines[i+1:] {
@@ -114,7 +116,6 @@
 				from, to := pair[0], pair[1]
 				peers, notices := l.tcp(to.peers), l.udp(to.notices)
 				t.store.replace(from.name, to.peers, peers, to.notices, notices)
-				from.seeds = append(from.seeds, peers)
 			}
 		}
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -22,10 +22,10 @@
 	ver     uint64
 	rows    map[rowName]rowState
 	history []rowChange
-	dropped uint64                     // Version up to which the history is no longer available.
-	deaf    bool                       // Watches hear nothing.
-	epoch   int                        // Rises when watches are cut.
-	onTold  func(viewer, table string) // Called, with mu held, when a watch is told of a change; may be nil.
+	dropped uint64                         // Version up to which the history is no longer available.
+	deaf    bool                           // Watches hear nothing.
+	epoch   int                            // Rises when watches are cut.
+	onWrite func(key string, value []byte) // Called, with mu held, before a router's write is applied; may be nil.
 	changed chan struct{}
 	cut     map[string]bool // Viewers whose calls get no answer.
 	rewrite map[string][]string
@@ -254,9 +254,6 @@
 				rows = append(rows, s.wire(viewer, c.name, c.state, c.deleted))
 			}
 		}
-		if s.onTold != nil && len(rows) > 0 {
-			s.onTold(viewer, q.Get("table"))
-		}
 		if len(rows) > 0 || expired {
 			s.answer(viewer, w, 200, false, rows)
 			s.mu.Unlock()
@@ -307,6 +304,9 @@
 			w.WriteHeader(400)
 			return
 		}
+		if s.onWrite != nil {
+			s.onWrite(p.Key, v)
+		}
 		s.set(rowName{p.Table, p.Part, p.Key}, v)
 	}
 	for _, d := range t.Delete {
--- a/review/standin/turns.go
+++ b/review/standin/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -53,21 +54,25 @@
 		second = t.machines[1]
 	}
 	t.add("%s holds the lease of orders", first.name)
-	// As soon as the first machine is told of new weights, watches hear nothing for a second.
+	// As the first machine writes that it is about to order the runner, watches hear nothing
+	// for a second.
 	deaf := make(chan struct{})
 	t.store.mu.Lock()
-	t.store.onTold = func(viewer, table string) {
-		if viewer != first.name || table != "op" {
-			return
+	t.store.onWrite = func(key string, value []byte) {
+		if strings.HasPrefix(key, "rollout") && contains(value, r.id) {
+			t.store.onWrite = nil
+			t.store.deaf = t.trouble
+			close(deaf)
 		}
-		t.store.onTold = nil
-		t.store.deaf = t.trouble
-		close(deaf)
 	}
 	t.store.mu.Unlock()
 	ordered := len(r.ordersSeen())
 	name()
-	<-deaf
+	select {
+	case <-deaf:
+	case <-time.After(6 * time.Second):
+		cannotRun("nobody takes the rollout up")
+	}
 	t.add("trouble: watches hear nothing: %v", t.trouble)
 	if t.trouble {
 		time.AfterFunc(time.Second, func() {
@@ -103,10 +108,5 @@
 
 // contains reports whether the value contains the text.
 func contains(value []byte, text string) bool {
-	for i := 0; i+len(text) <= len(value); i++ {
-		if string(value[i:i+len(text)]) == text {
-			return true
-		}
-	}
-	return false
+	return strings.Contains(string(value), text)
 }
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -11,6 +11,10 @@
 
 func init() { cases["versions"] = versions }
 
+// usual is the time for which all runners have had one version of the software before the
+// trouble. It is longer than the deadline of any stream.
+const usual = 35 * time.Second
+
 // versions: a machine is cut off from the store and the other machines. Meanwhile a runner
 // with another version of the software joins, and leaves again. Clients whose streams that
 // ends take them up at the machine that is cut off. The check is ORDER, as written: more than
@@ -81,7 +85,7 @@
 	}
 	t.add("traffic begins")
 	begin(20)
-	time.Sleep(5 * time.Second)
+	time.Sleep(usual)
 	if t.trouble {
 		t.add("trouble: %s is cut off from the store and the other machines", last.name)
 		t.store.setCut(last.name, true)
