--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -25,7 +25,6 @@
 	seq                                int
 	born                               time.Time
 
-	listener net.Listener
 	server   *http.Server
 	mu       sync.Mutex
 	sick     atomic.Bool // The runner is in trouble now: it sends events without end.
@@ -49,8 +48,15 @@
 	if err != nil {
 		cannotRun("runner: %v", err)
 	}
-	r.listener, r.address, r.born, r.stop = l, l.Addr().String(), time.Now(), make(chan struct{})
+	r.address, r.born = l.Addr().String(), time.Now()
 	r.weights.Store(1)
+	r.serve(l)
+}
+
+// serve serves requests, and writes the entry of the runner at once and with each heartbeat.
+func (r *runner) serve(l net.Listener) {
+	stop := make(chan struct{})
+	r.stop = stop
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /amaranthreach/report", r.report)
 	mux.HandleFunc("POST /amaranthreach/order", r.order)
@@ -61,7 +67,7 @@
 	go func() {
 		for {
 			select {
-			case <-r.stop:
+			case <-stop:
 				return
 			case <-time.After(1200 * time.Millisecond):
 				r.list("ready")
@@ -73,6 +79,9 @@
 // list writes the entry of the runner in the platform's store. The entry changes with the
 // heartbeat only.
 func (r *runner) list(state string) {
+	if r.store.isDown() {
+		return
+	}
 	r.mu.Lock()
 	r.seq++
 	entry := map[string]any{
@@ -87,6 +96,23 @@
 	r.store.put("servers", r.id, entry)
 }
 
+// restart starts the runner again under its id and at its address, with the given version of
+// the software. It writes its entry at once, unless the store is away.
+func (r *runner) restart(software string, pause time.Duration) {
+	close(r.stop)
+	r.server.Close()
+	time.Sleep(pause)
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		cannotRun("runner: %v", err)
+	}
+	r.mu.Lock()
+	r.software, r.seq, r.born = software, 0, time.Now()
+	r.mu.Unlock()
+	r.record.add("runner %s has started again with software=%s", r.id, software)
+	r.serve(l)
+}
+
 // crash ends the runner: its connections are reset and it is silent in the store. Its entry
 // is removed after three heartbeats.
 func (r *runner) crash() {
@@ -177,7 +203,10 @@
 	}
 	r.running.Add(1)
 	defer r.running.Add(-1)
-	r.record.add("run id=%s server=%s service=%s software=%s path=%s last-event-id=%q", id, r.id, r.service, r.software, q.URL.Path, q.Header.Get("Last-Event-Id"))
+	r.mu.Lock()
+	software := r.software
+	r.mu.Unlock()
+	r.record.add("run id=%s server=%s service=%s software=%s path=%s last-event-id=%q", id, r.id, r.service, software, q.URL.Path, q.Header.Get("Last-Event-Id"))
 	r.record.ran(id, run{r, time.Now(), q.Header.Get("Last-Event-Id")})
 	h.Set("Amaranthreach-Server-Stamp", "stamp."+r.id+"."+id)
 	h.Set("Amaranthreach-Instance-Load", fmt.Sprintf("%d,0,128", r.running.Load()))
@@ -198,7 +227,7 @@
 			r.flood(w, q, id, n)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, r.software); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, software); err != nil {
 			return
 		}
 		flush()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -27,6 +27,7 @@
 	epoch   int                            // Rises when watches are cut.
 	onWrite func(key string, value []byte) // Called, with mu held, before a router's write is applied; may be nil.
 	changed chan struct{}
+	down    bool            // The store is away: no call gets an answer.
 	cut     map[string]bool // Viewers whose calls get no answer.
 	rewrite map[string][]string
 }
@@ -99,6 +100,20 @@
 	s.wake()
 }
 
+// setDown takes the store away from all viewers and writers, or brings it back.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // compact discards the history so far, and cuts the watches, which hear again from then on.
 func (s *store) compact() {
 	s.mu.Lock()
@@ -144,7 +159,7 @@
 	held := false
 	for {
 		s.mu.Lock()
-		cut, changed := s.cut[viewer], s.changed
+		cut, changed := s.cut[viewer] || s.down, s.changed
 		s.mu.Unlock()
 		if !cut {
 			if held {
