--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,7 +4,7 @@
 //
 // Usage: review-standin CASE FOLDER. With TROUBLE=0 in the environment it plays the same
 // without the disruption. It exits with 1 if the rule was broken, with 0 if it held and with 2
-// if the case could not run.
+// if the case could not run. With KEEP=1 the settings and logs of the routers stay in the temporary folder.
 package main
 
 import (
@@ -36,8 +36,6 @@
 // run is a request that a runner has begun to run.
 type run struct {
 	runner *runner
-	at     time.Time
-	last   string // Last-Event-Id.
 }
 
 // ran records that the runner begins to run the client attempt.
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -30,18 +30,13 @@
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	startedAt time.Time
-	ends      []processEnd // Ends that the case did not order.
-	stopping  bool         // The case has sent SIGTERM.
+	ends      []string // Why the process ended when the case had not ordered it.
+	stopping  bool     // The case has sent SIGTERM.
 	stopped   bool
 	peakMB    int
 	done      chan struct{}
 }
 
-type processEnd struct {
-	at  time.Time
-	why string
-}
-
 // root is the root of the repository, and scratch a temporary folder.
 var root, scratch string
 
@@ -188,7 +183,7 @@
 		p.mu.Lock()
 		stopped := p.stopped
 		if !stopped && !p.stopping {
-			p.ends = append(p.ends, processEnd{time.Now(), why})
+			p.ends = append(p.ends, why)
 		}
 		p.mu.Unlock()
 		if stopped {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -113,14 +113,6 @@
 	r.serve(l)
 }
 
-// crash ends the runner: its connections are reset and it is silent in the store. Its entry
-// is removed after three heartbeats.
-func (r *runner) crash() {
-	close(r.stop)
-	r.server.Close()
-	time.AfterFunc(3600*time.Millisecond, func() { r.store.drop("servers", r.id) })
-}
-
 // drain is a planned end: the runner reports that it is draining, serves for the given time
 // and exits, which ends its connections. Then it removes its entry.
 func (r *runner) drain(serve time.Duration) {
@@ -207,7 +199,7 @@
 	software := r.software
 	r.mu.Unlock()
 	r.record.add("run id=%s server=%s service=%s software=%s path=%s last-event-id=%q", id, r.id, r.service, software, q.URL.Path, q.Header.Get("Last-Event-Id"))
-	r.record.ran(id, run{r, time.Now(), q.Header.Get("Last-Event-Id")})
+	r.record.ran(id, run{r})
 	h.Set("Amaranthreach-Server-Stamp", "stamp."+r.id+"."+id)
 	h.Set("Amaranthreach-Instance-Load", fmt.Sprintf("%d,0,128", r.running.Load()))
 	if r.model == "" {
