Bound the bytes that a router holds in all deployments, events without an end included

Cause: on resumable streams a router keeps an event until it has ended. What it keeps was bounded by the account of held bytes alone, and there was none without the contract "pressure" or the setting held-bytes. Ruled out: only one form of event (data lines, ID lines and comments inside an event are kept as well), heads and chunk extensions (bounded before).

--- a/core/amrbytes/account.go
+++ b/core/amrbytes/account.go
@@ -33,6 +33,13 @@
 // process grows by about 40 KB for each, garbage included, for which the bound leaves room.
 const RequestBytes = 16 << 10
 
+// DefaultBound is a bound in bytes for a router whose memory is not known.
+const DefaultBound = 64 << 20
+
+// usualEventBytes is the size up to which an incomplete event is no sign of an event without
+// end.
+const usualEventBytes = 64 << 10
+
 // Account bounds the bytes that are held. It is safe for concurrent use. Create it with
 // New.
 type Account struct {
@@ -90,15 +97,15 @@
 	return min(maxAheadBytes, a.bound/aheadParts)
 }
 
-// makeRoom breaks off the largest holders until n more bytes for the holder are within
-// the bound. It returns the functions that break them off, to be called without the lock,
+// makeRoom breaks off holders until n more bytes for the holder are within the bound: first
+// those with the largest incomplete events, then the largest. It returns the functions that break them off, to be called without the lock,
 // and false if the holder itself is one of them. The caller must hold a.mu.
 func (a *Account) makeRoom(h *Holder, n int64) (breakOff []func(), ok bool) {
 	for a.held-a.releasing+n > a.bound {
-		largest, most := h, h.bytes+n
+		largest, most := h, h.size(n)
 		for other := range a.holders {
-			if !other.broken && other.bytes > most {
-				largest, most = other, other.bytes
+			if size := other.size(0); !other.broken && size.exceeds(most) {
+				largest, most = other, size
 			}
 		}
 		largest.broken = true
--- a/core/amrbytes/account_test.go
+++ b/core/amrbytes/account_test.go
@@ -16,6 +16,8 @@
 //	account BOUND
 //	open NAME=SIZE       prints "refused" if the request is refused
 //	add NAME=SIZE        prints "not counted" if the holder is broken off
+//	event NAME=SIZE      the same for an incomplete event
+//	end-event NAME=SIZE
 //	ahead NAME=SIZE      prints "not counted" beyond a limit
 //	release NAME=SIZE    of what was read ahead
 //	close NAME
@@ -57,6 +59,12 @@
 		if !s.holders[name].Add(size) {
 			outcome = "not counted, "
 		}
+	case "event":
+		if !s.holders[name].AddEvent(size) {
+			outcome = "not counted, "
+		}
+	case "end-event":
+		s.holders[name].ReleaseEvent(size)
 	case "ahead":
 		if !s.holders[name].TryAhead(size) {
 			outcome = "not counted, "
--- a/core/amrbytes/holder.go
+++ b/core/amrbytes/holder.go
@@ -9,6 +9,7 @@
 	// Guarded by account.mu.
 	bytes  int64
 	ahead  int64 // Part of bytes that was read ahead of the caller.
+	event  int64 // Part of bytes that belongs to an incomplete event.
 	broken bool
 	closed bool
 }
@@ -38,6 +39,56 @@
 	return ok
 }
 
+// AddEvent counts n more bytes of an incomplete event, as Add does.
+func (h *Holder) AddEvent(n int64) bool {
+	if !h.Add(n) {
+		return false
+	}
+	h.countEvent(n)
+	return true
+}
+
+// ReleaseEvent counts n bytes less, which AddEvent has counted.
+func (h *Holder) ReleaseEvent(n int64) {
+	h.countEvent(-n)
+	h.Release(n)
+}
+
+// countEvent counts n more bytes of an incomplete event, which are part of the held bytes.
+func (h *Holder) countEvent(n int64) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.event += n
+}
+
+// holderSize is the size of a holder, by which it is broken off.
+type holderSize struct {
+	event int64 // Bytes of an incomplete event; 0 up to usualEventBytes.
+	bytes int64
+}
+
+// exceeds reports whether a holder of the size is broken off before one of the other size. A
+// caller that reads slowly thus keeps what was read ahead for it while there are events
+// without end.
+func (s holderSize) exceeds(other holderSize) bool {
+	if s.event != other.event {
+		return s.event > other.event
+	}
+	return s.bytes > other.bytes
+}
+
+// size returns the size of the holder with n more bytes. The caller must hold account.mu.
+func (h *Holder) size(n int64) holderSize {
+	s := holderSize{bytes: h.bytes + n}
+	if h.event > usualEventBytes {
+		s.event = h.event
+	}
+	return s
+}
+
 // TryAhead counts n more bytes of the answer that are read ahead of the caller. It
 // returns false, and counts nothing, if they are beyond the limit of one caller or of all
 // callers together.
--- a/core/amrdirect/held.go
+++ b/core/amrdirect/held.go
@@ -10,14 +10,9 @@
 	"amaranthreach.example/core/amrforward"
 )
 
-// BoundsHeldBytes reports whether the bytes that are held for callers are bounded.
-func (r *Router) BoundsHeldBytes() bool {
-	return r.forward.BoundsHeldBytes()
-}
-
 // Hold returns the holder of a new request with n bytes of a body, or nil if so much is
 // held that the request must be refused with RefuseHeld. The function breakOff must end
-// the request; it must not block. Hold must be called only if the held bytes are bounded.
+// the request; it must not block.
 func (r *Router) Hold(n int64, breakOff func()) *amrbytes.Holder {
 	return r.forward.Hold(n, breakOff)
 }
--- a/core/amrdirect/metrics.go
+++ b/core/amrdirect/metrics.go
@@ -36,9 +36,7 @@
 		r.rollout.orders,
 		newRolloutCollector(r.rollout),
 	)
-	if r.held != nil {
-		registerer.MustRegister(newHeldCollector(r.held))
-	}
+	registerer.MustRegister(newHeldCollector(r.held))
 	for name, f := range r.copies.Followers {
 		labels := prometheus.Labels{"table": name}
 		registerer.MustRegister(
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -155,9 +155,7 @@
 	if r.boot == nil {
 		r.boot = r.clock
 	}
-	if settings.HeldBytes > 0 {
-		r.held = amrbytes.New(settings.HeldBytes)
-	}
+	r.held = amrbytes.New(settings.heldBytes())
 	r.routers.Store(initialRouterCount)
 	r.factsReady = make(chan struct{}, 1)
 	r.fleet = amrpool.New(r.fleetOptions()...)
@@ -199,9 +197,7 @@
 		amrforward.WithoutSlack(),
 		amrforward.WithHost(r.settings.Host),
 		amrforward.WithPartChanges(r.quarantine.store),
-	}
-	if r.held != nil {
-		options = append(options, amrforward.WithHeldBytes(r.held))
+		amrforward.WithHeldBytes(r.held),
 	}
 	if r.settings.NoticesAddress != "" {
 		options = append(options, amrforward.WithPartReports())
--- a/core/amrdirect/settings.go
+++ b/core/amrdirect/settings.go
@@ -1,6 +1,9 @@
 package amrdirect
 
-import "amaranthreach.example/core/amrgossip"
+import (
+	"amaranthreach.example/core/amrbytes"
+	"amaranthreach.example/core/amrgossip"
+)
 
 // Settings holds the configuration of a Router.
 type Settings struct {
@@ -17,7 +20,15 @@
 	AdmissionByUrgency bool    // All pools admit requests by urgency, not only those whose servers report a pace.
 	HardServerMemory   bool    // Routers keep the requests in flight within the memory of servers; see amrpool.WithHardServerMemory.
 	ReturnShare        float64 // See amrforward.WithReturnShare.
-	HeldBytes          int64   // Bound of the bytes that the router holds for its callers; 0 means that they are not counted.
+	HeldBytes          int64   // Bound of the bytes that the router holds for its callers; 0 selects amrbytes.DefaultBound.
+}
+
+// heldBytes returns the bound of the bytes that the router holds for its callers.
+func (s Settings) heldBytes() int64 {
+	if s.HeldBytes == 0 {
+		return amrbytes.DefaultBound
+	}
+	return s.HeldBytes
 }
 
 // noticesBudget returns the budget of notices in bytes per second; 0 means no limit.
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -88,7 +88,7 @@
 	status        int
 	writeErr      error
 	refused       *refusal
-	ahead         *readAhead // Body of the last answer; nil where the held bytes are not bounded.
+	ahead         *readAhead // Body of the last answer; nil where the bytes held for the request are not counted.
 	cancelAttempt func()     // Ends the last attempt.
 }
 
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -104,7 +104,7 @@
 	storePartChange func(PartChange)
 	partNews        partNews // Guarded by mu.
 
-	held *amrbytes.Account // Nil where the held bytes are not bounded.
+	held *amrbytes.Account
 }
 
 // DefaultWarmUp is the time after the start of a router during which requests
@@ -183,6 +183,7 @@
 
 		onNews: func() {},
 		warmUp: DefaultWarmUp,
+		held:   amrbytes.New(amrbytes.DefaultBound),
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/core/amrforward/held.go
+++ b/core/amrforward/held.go
@@ -9,20 +9,15 @@
 	"amaranthreach.example/core/amrreason"
 )
 
-// WithHeldBytes sets the account of the bytes that are held for callers. By default they
-// are neither counted nor bounded.
+// WithHeldBytes sets the account of the bytes that are held for callers. The default is an
+// account with amrbytes.DefaultBound.
 func WithHeldBytes(a *amrbytes.Account) Option {
 	return func(f *Forwarder) { f.held = a }
 }
 
-// BoundsHeldBytes reports whether the bytes that are held for callers are bounded.
-func (f *Forwarder) BoundsHeldBytes() bool {
-	return f.held != nil
-}
-
 // Hold returns the holder of a new request with n bytes of a body, or nil if so much is
 // held that the request must be refused with RefuseHeld. The function breakOff must end
-// the request; it must not block. Hold must be called only if the held bytes are bounded.
+// the request; it must not block.
 func (f *Forwarder) Hold(n int64, breakOff func()) *amrbytes.Holder {
 	return f.held.Open(n, breakOff)
 }
@@ -62,14 +57,14 @@
 	return x.write(p)
 }
 
-// holdEvent counts what the splitter buffers of an event that has not ended yet. Without
-// that, an event without end would fill the memory. The bytes count until releaseEvent.
+// holdEvent counts what the splitter buffers of an event that has not ended yet. The bytes
+// count until releaseEvent.
 func (x *exchange) holdEvent(s *eventSplitter) error {
 	grown := cap(s.buffered) - s.counted
 	if grown <= 0 {
 		return nil
 	}
-	if !x.request.Held.Add(int64(grown)) {
+	if !x.request.Held.AddEvent(int64(grown)) {
 		return errBrokenOff
 	}
 	s.counted += grown
@@ -78,6 +73,6 @@
 
 // releaseEvent takes back what holdEvent has counted for the splitter.
 func (x *exchange) releaseEvent(s *eventSplitter) {
-	x.request.Held.Release(int64(s.counted))
+	x.request.Held.ReleaseEvent(int64(s.counted))
 	s.counted = 0
 }
--- a/core/amrforward/held_event_test.go
+++ b/core/amrforward/held_event_test.go
@@ -3,19 +3,15 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"amaranthreach.example/core/amrbytes"
 	"amaranthreach.example/core/amrforward"
-	"amaranthreach.example/core/amrpool"
-	"amaranthreach.example/core/amrroute"
 )
 
 // cutEventBackend is a backend whose first answer breaks off in a large event. It records
@@ -58,21 +54,14 @@
 // answer that it was part of has broken off.
 func TestIncompleteEventIsReleased(t *testing.T) {
 	is := is.New(t)
-	fleet := amrpool.New()
-	for _, name := range []string{"s1", "s2"} {
-		fleet.UpdateServer(amrpool.Listing{Name: name, Pool: "app", Address: name, Slots: 10})
-	}
 	b := &cutEventBackend{account: amrbytes.New(16 << 20)}
-	forward := amrforward.New(fleet, b, amrforward.WithWarmUp(0), amrforward.WithLogger(slog.New(slog.DiscardHandler)), amrforward.WithHeldBytes(b.account),
-		amrforward.WithRetryBounds(amrforward.RetryBounds{Slack: 10, Window: 10 * time.Second}, func() int { return 1 }))
-	forward.SetTable(amrroute.New(amrroute.Records{Version: 1, Routes: []amrroute.Route{{
-		Name: "stream", Host: "shop.example", Prefix: "/", Kind: amrroute.Stream, Resumable: true, Public: true, Timeout: time.Minute, MaxServers: 2,
-		Targets: []amrroute.Target{{Pool: "app", Weight: 1}},
-	}}}))
+	forward := newEventSite(b, amrforward.WithHeldBytes(b.account))
 	hold := forward.Hold(0, func() {})
 	defer hold.Close()
 	w := httptest.NewRecorder()
-	forward.Serve(t.Context(), w, &amrforward.Request{ID: "r", Method: http.MethodPost, Target: "/x", Path: "/x", Host: "shop.example", Header: http.Header{}, Arrived: clock.Now(), Held: hold})
+	request := streamRequest()
+	request.Held = hold
+	forward.Serve(t.Context(), w, request)
 	is.Equal(w.Body.String(), "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 	is.Equal(b.held, int64(amrbytes.RequestBytes))
 }
--- a/core/amrforward/held_test.go
+++ b/core/amrforward/held_test.go
@@ -23,8 +23,8 @@
 	"amaranthreach.example/core/amrroute"
 )
 
-// heldSite is a forwarder with one server and callers, of which some are slow. The held
-// bytes are bounded unless the account is nil.
+// heldSite is a forwarder with one server and callers, of which some are slow. The
+// bytes held for its requests are not counted if the account is nil.
 type heldSite struct {
 	account *amrbytes.Account
 	forward *amrforward.Forwarder
@@ -43,7 +43,7 @@
 // heldTimeout is the timeout of the routes.
 const heldTimeout = 30 * time.Second
 
-// newHeldSite returns a site with the bound in bytes, or without one if it is 0. It must
+// newHeldSite returns a site with the bound in bytes. With 0, its requests count nothing. It must
 // not be called in a bubble of synctest, because caches of the forwarder have goroutines
 // that do not end.
 func newHeldSite(bound int64) *heldSite {
@@ -164,7 +164,7 @@
 	defer cancel()
 	c.site, c.header = s, http.Header{}
 	r := &amrforward.Request{ID: "r", Method: http.MethodPost, Target: "/x", Path: "/x", Host: "shop.example", Header: http.Header{}, Arrived: clock.Now(), Body: make([]byte, bodyBytes)}
-	if s.forward.BoundsHeldBytes() {
+	if s.account != nil {
 		r.Held = s.forward.Hold(int64(bodyBytes), cancel)
 		defer r.Held.Close()
 		if r.Held == nil {
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -62,7 +62,7 @@
 	}
 	x.excluded = append(x.excluded, choice.Name)
 	x.recordSend(choice, start, amrpool.Failed, err.Error())
-	if !errors.Is(err, errNotResumed) {
+	if !errors.Is(err, errNotResumed) && !errors.Is(err, errEventTooLarge) {
 		x.updateStrikes(x.f.clock.Now(), choice.Name, amrpool.Failed)
 	}
 	if x.headerWritten && !x.canResume() {
@@ -164,7 +164,11 @@
 	err := x.copyBody(a.Body, func(p []byte) error {
 		switch {
 		case resumable:
-			p = splitter.push(p)
+			events, err := splitter.push(p)
+			if err != nil {
+				return err
+			}
+			p = events
 			if err := x.holdEvent(&splitter); err != nil {
 				return err
 			}
--- a/core/amrforward/request.go
+++ b/core/amrforward/request.go
@@ -32,8 +32,8 @@
 	PromptTokens int
 	OutputTokens int
 
-	// Held counts the bytes that are held for the request. It is nil where they are not
-	// bounded.
+	// Held counts the bytes that are held for the request. If it is nil, they are not
+	// counted, and the answer is not read ahead of the caller.
 	Held *amrbytes.Holder
 }
 
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -51,7 +51,6 @@
 weights-bound: 8s
 silence-bound: 3s
 memory-mb: %d
-held-bytes: bounded
 server-memory: hard
 `
 
