Let a router conclude the version of a stream only from a list that is current

Cause: a router that had seen one version for 30 s concluded from its list, however old, that every stream began at it. Ruled out: messages between routers, rows of streams and of pools, none of which are read in this case.

Change: such a conclusion needs a list of servers and rows of pools that are the store's now. A router confirms them by a read of the store's position and calls for changes that must reach it; streams at the same time share the calls. If the store does not answer, most of the routers that may know the stream must reply and agree. Why it works: a version that has served a stream stands in the list or in the row of its pool, and a router that is cut off gets neither the store's answer nor a majority.

Tests: the cases of TestStore with "cut" failed before (two streams at the wrong version). The opposite stands in TestStore: with the store away for all and one of four routers gone, streams go on.

--- a/core/amrdirect/dependencies.go
+++ b/core/amrdirect/dependencies.go
@@ -43,6 +43,10 @@
 type StreamRows interface {
 	SharedRows
 
+	// Position returns the newest position of all tables, by a read: it is never one from
+	// before the call.
+	Position(ctx context.Context) (amrfollow.Position, error)
+
 	// Page returns up to limit rows whose keys are from or greater, in ascending order
 	// of their keys.
 	Page(ctx context.Context, from string, limit int) ([]amrplatform.Item, error)
--- a/core/amrdirect/origins.go
+++ b/core/amrdirect/origins.go
@@ -11,6 +11,9 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
 	"amaranthreach.example/core/amrfollow"
 	"amaranthreach.example/core/amrorigin"
 	"amaranthreach.example/core/amrplatform"
@@ -49,8 +52,9 @@
 // origins keeps what the directory of streams needs after all routers were gone at once.
 // It implements amrorigin.Store.
 type origins struct {
-	router *Router
-	cursor string // Key from which ExpiredStreams, which is called by one goroutine, reads.
+	router  *Router
+	confirm singleflight.Group
+	cursor  string // Key from which ExpiredStreams, which is called by one goroutine, reads.
 }
 
 func newOrigins(r *Router) *origins {
@@ -258,6 +262,48 @@
 	return expired, nil
 }
 
+// confirmedFor is the time for which lists count as current after they were.
+const confirmedFor = 250 * time.Millisecond
+
+// ConfirmLists returns nil if the list of servers and the rows of pools, as this router has
+// applied them, were those of the store at most confirmedFor ago. Calls at the same time
+// share the calls to the store.
+func (o *origins) ConfirmLists(ctx context.Context) error {
+	if o.ListsAge() <= confirmedFor {
+		return nil
+	}
+	_, err, _ := o.confirm.Do("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), amrorigin.LookupTimeout)
+		defer cancel()
+		return nil, o.confirmTables(ctx)
+	})
+	return err
+}
+
+// confirmTables confirms the copies of both tables against a position that it reads.
+func (o *origins) confirmTables(ctx context.Context) error {
+	deps, followers := o.router.deps, o.router.copies.Followers
+	least, err := deps.Streams.Position(ctx)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return followers[tableServers].Confirm(ctx, deps.Servers, least) })
+	group.Go(func() error { return followers[tableShared].Confirm(ctx, deps.Shared, least) })
+	return group.Wait()
+}
+
+// ListsAge returns the time since the list of servers and the rows of pools, as this router
+// has them, were both known to be those of the store.
+func (o *origins) ListsAge() time.Duration {
+	followers := o.router.copies.Followers
+	servers, shared := followers[tableServers].CurrentAt(), followers[tableShared].CurrentAt()
+	if shared.Before(servers) {
+		servers = shared
+	}
+	return o.router.clock.Since(servers)
+}
+
 // Rank returns the position of this router among the registered ones, and their number.
 func (o *origins) Rank() (rank, routers int) {
 	return int(o.router.rank.Load()), int(o.router.routers.Load())
--- a/core/amrdirect/origins_test.go
+++ b/core/amrdirect/origins_test.go
@@ -43,6 +43,10 @@
 	return item, 0, nil
 }
 
+func (m memoryRows) Position(context.Context) (amrfollow.Position, error) {
+	return amrfollow.Position{Version: 1}, nil
+}
+
 func (m memoryRows) Page(_ context.Context, from string, limit int) ([]amrplatform.Item, error) {
 	var page []amrplatform.Item
 	for _, item := range m.items {
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -105,6 +105,11 @@
 	mu        sync.Mutex
 	interrupt context.CancelFunc // Cancels the call in progress; nil if there is none.
 	hintedEra uint64             // Newest era that ObserveEra was told of.
+
+	progress      sync.Mutex
+	passed        Position      // Newest position up to which apply was called with all changes.
+	passedChanged chan struct{} // Closed when passed changes next.
+	confirmedAt   time.Time     // See Confirm.
 }
 
 // Option configures a Follower.
@@ -146,6 +151,8 @@
 		copy:        newCopy(),
 		minInterval: func() time.Duration { return 0 },
 		wait:        func() time.Duration { return DefaultWait },
+
+		passedChanged: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -262,6 +269,7 @@
 		defer f.waitMinInterval(ctx, rows)
 		f.apply(Update{Rows: rows, Reconnected: reconnected, Restored: restored, Era: batch.Era, Now: batch.Now})
 	}
+	f.recordPassedOn(batch.Position)
 }
 
 // waitMinInterval waits for the minimum time between a change and the next
--- a/core/amrorigin/directory_test.go
+++ b/core/amrorigin/directory_test.go
@@ -24,6 +24,8 @@
 	fleets      map[amrgossip.HostID]*amrpool.Fleet
 	hosts       []amrgossip.HostID
 	gone        map[amrgossip.HostID]bool
+	cut         map[amrgossip.HostID]bool // Routers that reach neither the store nor others.
+	stores      map[amrgossip.HostID]*cutStore
 	messages    int // Number of messages that were sent.
 	servers     map[string]string
 	store       *fakeStore // Nil if the routers have none.
@@ -49,7 +51,7 @@
 	host := f.hosts[router]
 	pool := amrpool.New()
 	f.fleets[host] = pool
-	f.directories[host] = New(pool, f.clock, slog.New(slog.NewTextHandler(io.Discard, nil)), f.options()...)
+	f.directories[host] = New(pool, f.clock, slog.New(slog.NewTextHandler(io.Discard, nil)), f.options(host)...)
 	f.directories[host].SetMessenger(endpoint{f, host})
 	delete(f.gone, host)
 	for name, version := range f.servers {
@@ -65,14 +67,22 @@
 	if version == "" {
 		delete(f.servers, name)
 	}
+	f.listAll()
+}
+
+// listAll lets the routers that reach the store have all its servers.
+func (f *fleet) listAll() {
 	for _, host := range f.hosts {
-		if f.gone[host] {
+		if f.gone[host] || f.cut[host] {
 			continue
 		}
-		if version == "" {
-			f.fleets[host].RemoveServer(f.clock.Now(), name, 0)
-			f.fleets[host].States(f.clock.Now(), testPool) // Forgets servers that are gone.
-		} else {
+		for _, state := range f.fleets[host].States(f.clock.Now(), testPool) {
+			if f.servers[state.Name] == "" {
+				f.fleets[host].RemoveServer(f.clock.Now(), state.Name, 0)
+			}
+		}
+		f.fleets[host].States(f.clock.Now(), testPool) // Forgets servers that are gone.
+		for name, version := range f.servers {
 			f.fleets[host].UpdateServer(amrpool.Listing{Name: name, Pool: testPool, Address: name, Software: version})
 		}
 		f.directories[host].observe(testPool)
@@ -132,7 +142,7 @@
 
 func (e endpoint) SendOrigins(to amrgossip.HostID, origins []amrgossip.StreamOrigin) bool {
 	e.fleet.messages++
-	if !e.fleet.gone[to] {
+	if e.fleet.reaches(e.host, to) {
 		e.fleet.directories[to].HandleOrigins(origins)
 	}
 	return true
@@ -140,12 +150,17 @@
 
 func (e endpoint) SendOriginQuery(to amrgossip.HostID, q amrgossip.OriginQuery) bool {
 	e.fleet.messages++
-	if !e.fleet.gone[to] {
+	if e.fleet.reaches(e.host, to) {
 		e.fleet.directories[e.host].HandleOriginReply(e.fleet.directories[to].HandleOriginQuery(q))
 	}
 	return true
 }
 
+// reaches reports whether messages from one router arrive at the other.
+func (f *fleet) reaches(from, to amrgossip.HostID) bool {
+	return !f.gone[to] && !f.cut[from] && !f.cut[to]
+}
+
 // lose lets the router be gone.
 func (f *fleet) lose(routers ...int) {
 	for _, router := range routers {
--- a/core/amrorigin/store.go
+++ b/core/amrorigin/store.go
@@ -41,6 +41,14 @@
 	// the given age.
 	ExpiredStreams(ctx context.Context, age time.Duration) ([]Stream, error)
 
+	// ConfirmLists returns nil if the list of servers and the rows of pools, as this router
+	// has applied them, are those of the store. It makes calls if that was not known just
+	// before, and waits for LookupTimeout at most.
+	ConfirmLists(ctx context.Context) error
+
+	// ListsAge returns the time since both were known to be those of the store.
+	ListsAge() time.Duration
+
 	// Rank returns the position of this router among the others, and their number
 	// together.
 	Rank() (rank, routers int)
--- a/core/amrorigin/store_test.go
+++ b/core/amrorigin/store_test.go
@@ -81,16 +81,59 @@
 	return nil, s.call()
 }
 
+func (s *fakeStore) ConfirmLists(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.call()
+}
+
+func (s *fakeStore) ListsAge() time.Duration { return 0 }
+
+// cutStore is the store as seen by one router, which may be cut off from it.
+type cutStore struct {
+	*fakeStore
+	fleet *fleet
+	host  amrgossip.HostID
+
+	currentAt time.Time // Time at which the router last read the lists.
+}
+
+func (s *cutStore) ConfirmLists(ctx context.Context) error {
+	if s.fleet.cut[s.host] {
+		return amrplatform.Unavailable.New("cut off")
+	}
+	if s.ListsAge() == 0 {
+		return nil
+	}
+	if err := s.fakeStore.ConfirmLists(ctx); err != nil {
+		return err
+	}
+	s.fleet.followOne(s.host)
+	return nil
+}
+
+func (s *cutStore) ListsAge() time.Duration {
+	return s.fleet.clock.Since(s.currentAt)
+}
+
+func (s *cutStore) ReadStream(ctx context.Context, stream Stream) (Origin, error) {
+	if s.fleet.cut[s.host] {
+		return Origin{}, amrplatform.Unavailable.New("cut off")
+	}
+	return s.fakeStore.ReadStream(ctx, stream)
+}
+
 func (s *fakeStore) Rank() (rank, routers int) {
 	return 0, s.routers
 }
 
 // options returns the options of a directory.
-func (f *fleet) options() []Option {
+func (f *fleet) options(host amrgossip.HostID) []Option {
 	if f.store == nil {
 		return nil
 	}
-	return []Option{WithStore(f.store)}
+	f.stores[host] = &cutStore{fakeStore: f.store, fleet: f, host: host}
+	return []Option{WithStore(f.stores[host])}
 }
 
 // newStoreFleet returns a fleet of routers with a store that have started on a platform
@@ -98,7 +141,8 @@
 func newStoreFleet(routers int) *fleet {
 	f := &fleet{
 		clock: clockwork.NewFakeClock(), directories: make(map[amrgossip.HostID]*Directory), fleets: make(map[amrgossip.HostID]*amrpool.Fleet),
-		gone: make(map[amrgossip.HostID]bool), servers: map[string]string{"e1": "v1"},
+		gone: make(map[amrgossip.HostID]bool), cut: make(map[amrgossip.HostID]bool), servers: map[string]string{"e1": "v1"},
+		stores: make(map[amrgossip.HostID]*cutStore),
 	}
 	f.store = &fakeStore{streams: make(map[Stream]Origin), routers: routers}
 	f.store.pools = map[string]PoolRow{testPool: {Versions: versionsOf([]string{"v1"}), Since: f.clock.Now().Add(-time.Hour)}}
@@ -115,18 +159,27 @@
 // follow lets the routers read the list and, while the store answers, the rows of pools.
 func (f *fleet) follow() {
 	for _, host := range f.hosts {
-		d := f.directories[host]
-		d.RecordList()
-		if !f.store.down && !f.gone[host] {
-			d.ApplyPoolRows(maps.Clone(f.store.pools), false)
-		}
+		f.followOne(host)
+	}
+}
+
+// followOne lets the router read the list and, while the store answers, the rows of pools.
+func (f *fleet) followOne(host amrgossip.HostID) {
+	if f.cut[host] {
+		return
+	}
+	d := f.directories[host]
+	d.RecordList()
+	if !f.store.down && !f.gone[host] {
+		f.stores[host].currentAt = f.clock.Now()
+		d.ApplyPoolRows(maps.Clone(f.store.pools), false)
 	}
 }
 
 // write lets the routers write what is due, and follow it.
 func (f *fleet) write(ctx context.Context) {
 	for _, host := range f.hosts {
-		if f.gone[host] {
+		if f.gone[host] || f.cut[host] {
 			continue
 		}
 		d := f.directories[host]
@@ -147,6 +200,7 @@
 //	begin ROUTER ID VERSION    the router passes on a stream
 //	write                      routers write what is due
 //	lose ROUTER                the router is gone
+//	cut|heal ROUTER...         the routers are cut off from the store and all routers, or no more
 //	restart ROUTER...          routers start anew at once, without reading the rows
 //	follow                     routers read the list and the rows
 //	store down|up|empty        the store fails, answers again, or has lost all rows
@@ -184,6 +238,13 @@
 		f.write(t.Context())
 	case "lose":
 		f.lose(router)
+	case "cut", "heal":
+		for _, word := range words[1:] {
+			n, _ := strconv.Atoi(word)
+			f.cut[f.hosts[n]] = words[0] == "cut"
+		}
+		f.listAll()
+		f.follow()
 	case "restart":
 		for _, word := range words[1:] {
 			n, _ := strconv.Atoi(word)
