Tell the last orders of all hosts in the row of the rollout lease

Cause: a host learned of another one's orders only by seeing each state of the row. One that reads the rows again sees the last state, which no longer names an engine whose change has ended. Ruled out: the lease (given up before), the fencing token, an order that was late.

Change: the note tells the last order of any host to each engine and from when it tells them all; holders pass on the orders of those before. Why it works: whatever state of the row a host reads, it names each engine that another host may be ordering or has ordered within the minimum time. Times are by the table's clock, bounded from above where they are written and from below where they are read. A router that has just started no longer waits for engines that nobody has ordered.

TestHandover has the same assertions, with notes of earlier versions. TestPausedOrder uses the fixture of the others.

--- a/core/amrdirect/dependencies.go
+++ b/core/amrdirect/dependencies.go
@@ -29,9 +29,9 @@
 // SharedRows reads and writes single rows of the table that the routers share.
 type SharedRows interface {
 	// Write applies the transaction and returns the position of the table that
-	// it created. It returns an error of type amrplatform.Conflict,
+	// it created, with the table's clock. It returns an error of type amrplatform.Conflict,
 	// amrplatform.Unavailable or amrplatform.OutcomeUnknown.
-	Write(ctx context.Context, txn amrplatform.Txn) (amrfollow.Position, error)
+	Write(ctx context.Context, txn amrplatform.Txn) (amrfollow.Receipt, error)
 
 	// Read returns the row with the key and the era of the table, or an error of
 	// type amrplatform.NotFound or amrplatform.Unavailable.
--- a/core/amrdirect/handover_test.go
+++ b/core/amrdirect/handover_test.go
@@ -7,6 +7,16 @@
 	"github.com/matryer/is"
 )
 
+// engines returns a note that names the engines and tells no orders, as routers of earlier
+// versions write it.
+func engines(names ...string) observedNote {
+	note := observedNote{engines: make(map[string]bool)}
+	for _, name := range names {
+		note.engines[name] = true
+	}
+	return note
+}
+
 // TestHandover checks the minimum time between orders that two hosts give to
 // the same engine.
 func TestHandover(t *testing.T) {
@@ -16,11 +26,11 @@
 	h := newHandover(start, "own", 3*time.Second)
 	is.True(h.allowed(at(0), "e1")) // No host has given an order yet.
 
-	h.observeLease(at(1000), "other", map[string]bool{"e1": true, "e2": true})
+	h.observeLease(at(1000), "other", engines("e1", "e2"))
 	is.True(!h.allowed(at(1000), "e3")) // Orders from before the start are not known.
 	is.True(h.allowed(at(3000), "e3"))
 
-	h.observeLease(at(4000), "other", map[string]bool{"e2": true}) // The change of e1 has ended.
+	h.observeLease(at(4000), "other", engines("e2")) // The change of e1 has ended.
 	is.True(!h.allowed(at(6990), "e1"))
 	is.True(h.allowed(at(7000), "e1"))
 
@@ -28,7 +38,7 @@
 	is.True(!h.allowed(at(8490), "e2"))
 	is.True(h.allowed(at(8500), "e2"))
 
-	h.observeLease(at(9000), "own", map[string]bool{"e5": true})
-	h.observeLease(at(9100), "own", nil)
+	h.observeLease(at(9000), "own", engines("e5"))
+	h.observeLease(at(9100), "own", engines())
 	is.True(h.allowed(at(9100), "e5")) // Orders of the same host need no time between them.
 }
--- a/core/amrdirect/note.go
+++ b/core/amrdirect/note.go
@@ -18,6 +18,9 @@
 type rolloutNote struct {
 	Changes map[string]changeNote `json:"changes,omitempty"` // Changes in progress by server name.
 	Targets []targetNote          `json:"namings,omitempty"`
+
+	Orders        orderNotes `json:"orders,omitempty"`          // Last orders, also to servers whose changes have ended.
+	OrdersSinceMS *int64     `json:"orders-since-ms,omitempty"` // Time from which Orders has them all; nil if the writer does not tell them.
 }
 
 // changeNote records that a server is loading weights or is about to.
@@ -78,6 +81,7 @@
 	})
 	note.Targets = note.Targets[:min(len(note.Targets), maxTargetNotes)]
 	r.retainTargets(note.Targets)
+	r.noteOrders(&note)
 	return note
 }
 
--- a/core/amrdirect/origins_test.go
+++ b/core/amrdirect/origins_test.go
@@ -25,14 +25,14 @@
 	items map[string]amrplatform.Item
 }
 
-func (m memoryRows) Write(_ context.Context, txn amrplatform.Txn) (amrfollow.Position, error) {
+func (m memoryRows) Write(_ context.Context, txn amrplatform.Txn) (amrfollow.Receipt, error) {
 	for _, put := range txn.Puts {
 		m.items[put.Key] = amrplatform.Item{Key: put.Key, Value: put.Value}
 	}
 	for _, key := range txn.Deletes {
 		delete(m.items, key)
 	}
-	return amrfollow.Position{}, nil
+	return amrfollow.Receipt{}, nil
 }
 
 func (m memoryRows) Read(_ context.Context, key string) (amrplatform.Item, uint64, error) {
--- a/core/amrdirect/paused_order_test.go
+++ b/core/amrdirect/paused_order_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -55,9 +54,8 @@
 			is.True(ok)
 			lease.TxnDone(boot.Now(), txn, 0, 1, nil)
 			engines := &pausedEngines{pause: func() { test.pause(boot, lease) }}
-			r := &rollout{
-				deps: Dependencies{Engines: engines}, boot: boot, clock: clockwork.NewRealClock(), log: slog.Default(), lease: lease, orders: newOrderCounter(), host: "own",
-			}
+			r := newTestRollout(0)
+			r.deps.Engines, r.boot, r.lease, r.orders = engines, boot, lease, newOrderCounter()
 			_ = r.order(t.Context(), plannedChange{server: amrpool.State{Listing: amrpool.Listing{Name: "e1"}}, model: "m1"}, 2, EngineReport{})
 			is.Equal(engines.sent, test.sent)
 		})
--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -65,7 +65,12 @@
 
 	orders *prometheus.CounterVec // Orders to load weights by result.
 
+	tableTime *tableTime           // Bounds the shared table's clock from above.
+	tableNow  func() time.Duration // Returns a lower bound of it.
+
 	mu          sync.Mutex
+	orderTimes  orderNotes // Last orders of all hosts.
+	eraAt       time.Time  // Time from which orderTimes has those of this host; zero for all.
 	lease       *amrorder.FollowedLease
 	handover    *handover
 	upgrades    map[string]*amrorder.Upgrade     // By model.
@@ -159,7 +164,7 @@
 	fence, held := r.lease.Held(now)
 	if held != r.held {
 		r.held = held
-		r.log.Info("lease of orders", "held", held, "fence", fence, "holder", r.lease.Holder())
+		r.log.Info("lease of orders", "held", held, "fence", fence, "holder", r.lease.Holder(), "engines-waiting", len(r.handover.allowedFrom), "orders-known-since", now.Sub(r.handover.knownFrom))
 	}
 	switch {
 	case !needed && len(r.changes) == 0 && r.announced && r.endedAt.IsZero():
--- a/core/amrdirect/rollout_lease.go
+++ b/core/amrdirect/rollout_lease.go
@@ -46,6 +46,8 @@
 	if !held {
 		r.handover.forget(now)
 	}
+	clear(r.orderTimes) // The clock of the table may have begun anew.
+	r.eraAt = now
 	r.log.Info("shared table has a new era; the lease of orders must be acquired again", "era", era, "held", held)
 	r.signal()
 }
@@ -80,7 +82,12 @@
 		return false
 	}
 	note := r.readNote(r.lease.Note())
-	r.handover.observeLease(now, r.lease.Holder(), note.engines())
+	clockNow := tableNow
+	if clockNow == 0 {
+		clockNow = r.tableNow()
+	}
+	r.orderTimes.merge(note.Orders)
+	r.handover.observeLease(now, r.lease.Holder(), r.observedOrders(note, clockNow))
 	r.mu.Unlock()
 	r.applyNote(amrpool.RowPosition{Era: era, Version: item.Version}, note, tableNow)
 	r.signal()
--- a/core/amrdirect/rollout_load_test.go
+++ b/core/amrdirect/rollout_load_test.go
@@ -31,6 +31,8 @@
 		handover: newHandover(clock.Now(), "own", 0),
 		upgrades: make(map[string]*amrorder.Upgrade), changes: make(map[string]amrpool.WeightsChange),
 		announcedChanges: make(map[string]amrpool.WeightsChange),
+		orderTimes:       make(orderNotes),
+		tableTime:        &tableTime{}, tableNow: func() time.Duration { return 0 },
 	}
 }
 
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -112,7 +112,8 @@
 	readyAt       atomic.Int64 // Time at which the router was first ready but for the shared table, in nanoseconds since 1970; 0 before.
 
 	softwareMu sync.Mutex        // Held while the software versions of pools are applied.
-	held       *amrbytes.Account // Nil if the held bytes are not bounded.
+	held       *amrbytes.Account // Bytes that are held for callers.
+	tableTime  tableTime
 }
 
 // Option configures a Router.
@@ -156,6 +157,7 @@
 		r.boot = r.clock
 	}
 	r.held = amrbytes.New(settings.heldBytes())
+	r.deps.Rows = timedRows{SharedRows: deps.Rows, boot: r.boot, time: &r.tableTime}
 	r.routers.Store(initialRouterCount)
 	r.factsReady = make(chan struct{}, 1)
 	r.fleet = amrpool.New(r.fleetOptions()...)
@@ -239,6 +241,9 @@
 		mode:        KeepRequests,
 		loadSlots:   semaphore.NewWeighted(loadCapacity),
 		orders:      newOrderCounter(),
+		orderTimes:  make(orderNotes),
+		tableTime:   &r.tableTime,
+		tableNow:    r.sharedTableNow,
 		lease:       amrorder.NewFollowedLease(r.boot.Now(), leaseKey, r.settings.Host, uuid.NewString(), leaseTTL),
 		handover:    newHandover(r.boot.Now(), r.settings.Host, r.settings.Bounds.LeaseHandover),
 		upgrades:    make(map[string]*amrorder.Upgrade),
@@ -294,6 +299,16 @@
 	}
 }
 
+// sharedTableNow returns an estimate of the reading of the shared table's clock, which is
+// later in fact; 0 while the table has not been read.
+func (r *Router) sharedTableNow() time.Duration {
+	table := r.copies.Followers[tableShared].Copy()
+	if !table.Filled() {
+		return 0
+	}
+	return table.TableNow(r.clock.Now())
+}
+
 // requestSend requests that facts be sent to the other routers soon.
 func (r *Router) requestSend() {
 	select {
--- a/core/amrdirect/strikes_test.go
+++ b/core/amrdirect/strikes_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-func (m *memoryTable) Write(_ context.Context, txn amrplatform.Txn) (amrfollow.Position, error) {
+func (m *memoryTable) Write(_ context.Context, txn amrplatform.Txn) (amrfollow.Receipt, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, check := range txn.Checks {
@@ -88,7 +88,7 @@
 			row.Version = 0
 		}
 		if row.Version != check.Version {
-			return amrfollow.Position{}, amrplatform.Conflict.New("row %q has version %d", row.Key, row.Version)
+			return amrfollow.Receipt{}, amrplatform.Conflict.New("row %q has version %d", row.Key, row.Version)
 		}
 	}
 	m.version++
@@ -100,7 +100,7 @@
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return amrfollow.Position{Era: firstEra, Version: m.version}, nil
+	return amrfollow.Receipt{Position: amrfollow.Position{Era: firstEra, Version: m.version}}, nil
 }
 
 func (m *memoryTable) Read(context.Context, string) (amrplatform.Item, uint64, error) {
--- a/core/amrdirect/weights_change.go
+++ b/core/amrdirect/weights_change.go
@@ -172,6 +172,7 @@
 		}
 		return err
 	})
+	r.recordOrder(c.server.Name)
 	r.orders.WithLabelValues(orderResult(err)).Inc()
 	r.log.Info("order to load weights", "server", c.server.Name, "model", c.model, "weights", target, "fence", fence, "accepted-before", report.Accepted, "running", report.Running, "err", err)
 	if errorx.IsOfType(err, OrderOutcomeUnknown) || errorx.IsOfType(err, OrderRefused) {
--- a/core/amrfollow/position.go
+++ b/core/amrfollow/position.go
@@ -1,6 +1,9 @@
 package amrfollow
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Position is a point in the history of a table.
 //
@@ -12,6 +15,12 @@
 	Version uint64 // Newest version of any row; 0 if nothing has been read.
 }
 
+// Receipt is the response of a table to a write.
+type Receipt struct {
+	Position               // Position of the rows that were written.
+	Now      time.Duration // Reading of the table's monotonic clock; see Batch.
+}
+
 // Compare returns -1 if p is before q, 1 if it is after q, and 0 otherwise.
 func (p Position) Compare(q Position) int {
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version))
