Let routers that are stopping take up rollouts, and keep the time of a declaration that a note tells

Cause: a router that was told to stop ended its part in rollouts at once unless one was in progress, so that nobody took the new weights up until the first router had started again. That one dated the weights by its own start: no holder had written the time, and a router that read the row of the lease before the declaration dropped it. Ruled out: the loads (1.2 s each), the store (undisturbed).

Change: a router that is stopping may take the lease while it serves callers, 0.3 s after those that are not. The time that a note tells is kept until the declaration is read.

Tests: TestWeightsWhileAllStop failed before (no engine was ordered), and with the first change alone (old weights beyond the bound). TestStoppingRouterLeavesOrders is the opposite: the lease goes to a router that is not stopping, if there is one.

--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -37,6 +37,9 @@
 	// last holder does not wait.
 	candidateDelay = 150 * time.Millisecond
 
+	// stoppingDelay is how much longer a candidate waits that is stopping.
+	stoppingDelay = 300 * time.Millisecond
+
 	// endedRetention is how long the shared row may still name a change that
 	// has ended. It may be long because routers learn the new version of the
 	// weights from the server itself.
@@ -79,6 +82,7 @@
 	announced   bool                             // Whether the shared row contains all changes.
 	endedAt     time.Time                        // Time since which the shared row may contain ended changes; zero if it contains none.
 	neededSince time.Time                        // Time since which there is work to do; zero if there is none.
+	stopping    bool                             // This router is stopping.
 	rank        int                              // Position of this router among the candidates for the lease.
 	held        bool                             // Whether this router held the lease at the last step.
 	outgoing    []amrgossip.Progress             // Progress that is queued for the other routers.
@@ -88,28 +92,32 @@
 	announcedChanges map[string]amrpool.WeightsChange // Changes whose begin was announced to the other routers, and whose end was not.
 }
 
-// Run plans and carries out changes until ctx is done. After stopping is done,
-// it continues the rollout in progress for at most the limit. Before it
+// Run plans and carries out changes until ctx is done. After stopping is done, it
+// goes on while callers are served, since all other routers may be stopping too, and
+// then with the rollout in progress, for at most the limit in all. Before it
 // returns, it waits for changes in progress and resigns the lease.
-func (r *rollout) Run(ctx, stopping context.Context, limit time.Duration) error {
-	ended := stopping.Done()
+func (r *rollout) Run(ctx, stopping, serving context.Context, limit time.Duration) error {
+	stopped, served := stopping.Done(), serving.Done()
 	for ctx.Err() == nil {
 		pause := idleInterval
 		busy := r.step(ctx)
 		if busy {
 			pause = rolloutInterval
 		}
-		if stopping.Err() != nil && !busy {
+		if stopping.Err() != nil && serving.Err() != nil && !busy {
 			break
 		}
 		timer := r.clock.NewTimer(pause)
 		select {
 		case <-ctx.Done():
-		case <-ended:
+		case <-stopped:
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, limit)
 			defer cancel()
-			ended = nil
+			stopped = nil
+			r.setStopping()
+		case <-served:
+			served = nil
 		case <-r.wake:
 		case <-timer.Chan():
 		}
@@ -120,6 +128,24 @@
 	return err
 }
 
+// setStopping records that this router is stopping, so that it leaves the lease to others
+// that are not.
+func (r *rollout) setStopping() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// mayTake reports whether it is this router's turn to take or renew the lease, if it is free.
+// The caller must hold r.mu.
+func (r *rollout) mayTake(now time.Time, held bool) bool {
+	turn := r.neededSince.Add(time.Duration(1+r.rank) * candidateDelay)
+	if r.stopping {
+		return held || !now.Before(turn.Add(stoppingDelay))
+	}
+	return held || r.lease.Holder() == r.host || !now.Before(turn)
+}
+
 // setRank sets the position of this router among the candidates for the lease;
 // the candidate with rank 0 takes it first.
 func (r *rollout) setRank(rank int) {
@@ -144,14 +170,18 @@
 	}
 }
 
-// recordTarget records that weights were declared at a time of the shared
-// table's clock.
+// recordTarget records that a declaration of weights was read at a time of the shared
+// table's clock. A note may have told before when it was made.
 func (r *rollout) recordTarget(w TargetWeights, at time.Duration) {
 	r.mu.Lock()
-	if _, ok := r.targetTimes[w]; !ok {
+	known, ok := r.targetTimes[w]
+	if !ok {
 		r.targetTimes[w] = at
 	}
 	r.mu.Unlock()
+	if ok && known < at {
+		r.fleet.SetTargetTime(r.clock.Now().Add(known-at), w.Model, w.Version)
+	}
 	r.signal()
 }
 
@@ -174,7 +204,7 @@
 	case r.neededSince.IsZero():
 		r.neededSince = now
 	}
-	mayStart := held || r.lease.Holder() == r.host || now.Sub(r.neededSince) >= time.Duration(1+r.rank)*candidateDelay
+	mayStart := r.mayTake(now, held)
 	r.mu.Unlock()
 	if !mayStart {
 		return true
--- a/core/amrdirect/serve.go
+++ b/core/amrdirect/serve.go
@@ -44,7 +44,7 @@
 // ListenAndServe serves the endpoints, runs the router and, while it holds the
 // rollout lease, gives orders to engines until ctx is done. Then the router
 // becomes unready and, after the delay in which load balancers notice this,
-// closes the callers' listener. ListenAndServe returns when requests and the
+// closes the callers' listener. Until then it may still take the lease. ListenAndServe returns when requests and the
 // rollout in progress have completed or the grace time has passed.
 func (r *Router) ListenAndServe(ctx context.Context, endpoints Endpoints, shutdown ShutdownTimes) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -54,7 +54,9 @@
 
 	var group, orders errgroup.Group
 	group.Go(func() error { return r.Run(running) })
-	orders.Go(func() error { return r.rollout.Run(running, ctx, shutdown.Delay+shutdown.Grace) })
+	serving, endServing := context.WithCancel(running)
+	defer endServing()
+	orders.Go(func() error { return r.rollout.Run(running, ctx, serving, shutdown.Delay+shutdown.Grace) })
 	for _, endpoint := range []Endpoint{endpoints.Health, endpoints.Peers, endpoints.Metrics} {
 		group.Go(func() error { return r.serve(running, endpoint, amrserve.DefaultLimits, 0) })
 	}
@@ -77,6 +79,7 @@
 	limits.WriteTimeout = refusalTimeout
 	err := r.serve(closing, endpoints.Callers, limits, shutdown.Grace, amrserve.WithConnLimiter(callers))
 	r.log.Info("stopped serving callers", "err", err)
+	endServing()
 	if err != nil {
 		stop()
 	}
