Let streams go on only at servers that are still the listed incarnation

Cause: the version of a server was that of its listing, however old, both for the server that began a stream and for the one at which it goes on. Ruled out: lost changes of the list, as the store told none.

Change: before a stream goes on, the target is confirmed as the listed incarnation, by a list that is current or by its own report. When a stream breaks off and it is not certain which software began it, the answer breaks off, and other routers are told that nobody knows. Why it works: an incarnation that still serves has served since its start, and a list without a gap has shown each one.

--- a/core/amrdirect/dependencies.go
+++ b/core/amrdirect/dependencies.go
@@ -101,6 +101,7 @@
 	Version  map[string]int // Version of the loaded weights by model.
 	Loading  bool           // Whether the engine is loading weights.
 	Accepted int            // Number of orders accepted since the engine started.
+	Started  time.Time      // Identifies the incarnation; zero if the engine does not tell it.
 	Running  int            // Number of requests that are running.
 	Waiting  int            // Number of requests that are queued.
 	Signals  amrpool.Signals
--- a/core/amrdirect/origins.go
+++ b/core/amrdirect/origins.go
@@ -65,8 +65,8 @@
 // originOptions returns the options of the directory of streams.
 func (r *Router) originOptions() []amrorigin.Option {
 	options := []amrorigin.Option{amrorigin.WithRegisterer(r.registry)}
-	if r.deps.Streams != nil {
-		options = append(options, amrorigin.WithStore(newOrigins(r)))
+	if r.streamStore != nil {
+		options = append(options, amrorigin.WithStore(r.streamStore))
 	}
 	return options
 }
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -96,6 +96,7 @@
 	gossip     *amrgossip.Exchange
 	placer     *amrcoord.Placer
 	origins    *amrorigin.Directory
+	identities *identities // Nil, as streamStore, if origins of streams are not kept in the store.
 	quotas     *quotas
 	factsReady chan struct{} // Signals that there are facts for the other routers.
 	followers  []*amrfollow.Follower
@@ -114,6 +115,8 @@
 	softwareMu sync.Mutex        // Held while the software versions of pools are applied.
 	held       *amrbytes.Account // Bytes that are held for callers.
 	tableTime  tableTime
+
+	streamStore *origins
 }
 
 // Option configures a Router.
@@ -162,6 +165,10 @@
 	r.factsReady = make(chan struct{}, 1)
 	r.fleet = amrpool.New(r.fleetOptions()...)
 	r.placer = amrcoord.New(settings.Host, r.fleet, recordNames{r}, r.clock, r.log, r.registry)
+	if deps.Streams != nil {
+		r.streamStore = newOrigins(r)
+		r.identities = &identities{lists: r.streamStore, fleet: r.fleet, engines: deps.Engines}
+	}
 	r.origins = amrorigin.New(r.fleet, r.clock, r.log, r.originOptions()...)
 	r.quotas = newQuotas(settings.Host, settings.Bounds.Quotas, r.clock, r.boot, r.log, r.registry)
 	r.quarantine = newQuarantines(r)
@@ -179,6 +186,9 @@
 	}
 	r.registrar = newRegistrar(r)
 	r.createFollowers()
+	if r.identities != nil {
+		r.identities.servers = r.copies.Followers[tableServers]
+	}
 	r.registerMetrics(r.registry)
 	return r
 }
@@ -201,6 +211,9 @@
 		amrforward.WithPartChanges(r.quarantine.store),
 		amrforward.WithHeldBytes(r.held),
 	}
+	if r.identities != nil {
+		options = append(options, amrforward.WithIdentities(r.identities))
+	}
 	if r.settings.NoticesAddress != "" {
 		options = append(options, amrforward.WithPartReports())
 	}
--- a/core/amrfollow/confirm_test.go
+++ b/core/amrfollow/confirm_test.go
@@ -83,6 +83,7 @@
 	is := is.New(t)
 	table, clock := newHeldTable(), clockwork.NewRealClock()
 	passOn := make(chan struct{}, 10)
+	begun := clock.Now()
 	f := amrfollow.New("test", table, slog.New(slog.DiscardHandler), func(amrfollow.Update) { <-passOn })
 	confirm := func() error {
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
@@ -102,6 +103,7 @@
 	}
 	passOn <- struct{}{}
 	await()
+	is.True(!f.WasContinuous(begun)) // From before the first read.
 	before := f.CurrentAt()
 	is.NoErr(confirm())
 	is.True(f.CurrentAt().After(before))
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -110,6 +110,7 @@
 	passed        Position      // Newest position up to which apply was called with all changes.
 	passedChanged chan struct{} // Closed when passed changes next.
 	confirmedAt   time.Time     // See Confirm.
+	gaps          []gap         // Oldest first.
 }
 
 // Option configures a Follower.
@@ -259,12 +260,16 @@
 		return
 	}
 	f.position = batch.Position
+	contact := f.copy.LastContact()
 	f.copy.recordContact(now, batch.Age, batch.Now)
 	if f.copy.lacksDeletions(batch.Keys) {
 		f.log.Info("changes of the table lack deletions; reading all rows", "table", f.name, "era", batch.Era, "version", batch.Version)
 		f.position = Position{}
 	}
 	restored := known.Version > 0 && batch.Era > known.Era
+	if complete || reconnected {
+		f.recordGap(contact, now)
+	}
 	if len(rows) > 0 || reconnected || restored {
 		defer f.waitMinInterval(ctx, rows)
 		f.apply(Update{Rows: rows, Reconnected: reconnected, Restored: restored, Era: batch.Era, Now: batch.Now})
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -84,6 +84,8 @@
 	sentAt        time.Time          // Time at which the last attempt was sent.
 	begunAt       time.Time          // Time at which the stream of the last attempt was first written to the caller; zero before that.
 	software      amrpool.SoftwareID // Version of the software that began the stream; 0 while none has.
+	began         *amrpool.Choice    // Server that began the stream in this answer; nil while none has.
+	beganAt       time.Time          // Time at which it began.
 	firstByte     time.Time
 	status        int
 	writeErr      error
@@ -223,6 +225,11 @@
 	start := x.f.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if !x.mayGoOnAt(ctx, choice) {
+		x.excluded = append(x.excluded, choice.Name)
+		x.recordSend(choice, start, amrpool.Withheld, "not confirmed")
+		return x.decideRetry(true, amrreason.EngineUnavailable)
+	}
 	x.choice, x.cancelAttempt = choice, cancel
 	x.sentAt, x.begunAt = start, time.Time{}
 	withheld := false
--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -52,6 +52,10 @@
 	// stream, or goes on with it, before the caller gets an event of that server.
 	Begin(s amrorigin.Stream, pool string, software amrpool.SoftwareID)
 
+	// Withdraw records that the version at which the stream of the pool began is not
+	// known, whatever Begin was told. Nobody may go on with it.
+	Withdraw(s amrorigin.Stream, pool string)
+
 	// Find returns the origin of a stream that a caller takes up. The pool is the one
 	// that a new stream would go to. It may block for some milliseconds.
 	Find(ctx context.Context, s amrorigin.Stream, pool string) (amrorigin.Origin, amrorigin.Certainty)
@@ -77,6 +81,8 @@
 	origins Origins
 	quotas  Quotas // Nil if teams have no quotas.
 
+	identities Identities
+
 	returnShare float64 // See WithReturnShare.
 
 	backend Backend
@@ -184,6 +190,8 @@
 		onNews: func() {},
 		warmUp: DefaultWarmUp,
 		held:   amrbytes.New(amrbytes.DefaultBound),
+
+		identities: listedIdentities{},
 	}
 	for _, opt := range opts {
 		opt(f)
--- /dev/null
+++ b/core/amrforward/identity_test.go
@@ -0,0 +1,108 @@
+package amrforward_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthreach.example/core/amrforward"
+	"amaranthreach.example/core/amrorigin"
+	"amaranthreach.example/core/amrpool"
+)
+
+// brokenStreamBackend is a backend whose first answer breaks off between two events. It
+// records to which servers requests are sent.
+type brokenStreamBackend struct {
+	servers []string
+}
+
+func (b *brokenStreamBackend) Send(_ context.Context, a amrforward.Attempt) (*amrforward.Answer, error) {
+	if _, err := a.BeforeSend(); err != nil {
+		return nil, err
+	}
+	b.servers = append(b.servers, a.Server)
+	answer := &amrforward.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Length: -1}
+	answer.Body = io.NopCloser(strings.NewReader("id: 2\ndata: x\n\n"))
+	if len(b.servers) == 1 {
+		answer.Body = cutBody{strings.NewReader("id: 1\ndata: x\n\n")}
+	}
+	return answer, nil
+}
+
+// fakeIdentities says of the servers with a name that they may have started again, and of the
+// beginnings of all streams whether they are certain.
+type fakeIdentities struct {
+	renewed string
+	certain bool
+	asked   int
+}
+
+func (i *fakeIdentities) Serves(_ context.Context, c *amrpool.Choice) bool {
+	i.asked++
+	return c.Name != i.renewed
+}
+
+func (i *fakeIdentities) Began(context.Context, *amrpool.Choice, time.Time) bool { return i.certain }
+
+// withdrawals records the streams that were withdrawn.
+type withdrawals struct {
+	fixedOrigin
+	streams []amrorigin.Stream
+}
+
+func (w *withdrawals) Withdraw(s amrorigin.Stream, _ string) { w.streams = append(w.streams, s) }
+
+// serveBroken serves a stream that breaks off, and returns what the caller got.
+func serveBroken(t *testing.T, b amrforward.Backend, r *amrforward.Request, opts ...amrforward.Option) (body string) {
+	w := httptest.NewRecorder()
+	defer func() {
+		_ = recover() // How a broken answer ends.
+		body = w.Body.String()
+	}()
+	newEventSite(b, opts...).Serve(t.Context(), w, r)
+	return ""
+}
+
+// TestStreamAtRenewedServer guards against streams that go on at a server which has started
+// again under its name with other software, within one answer or when a caller takes one up,
+// and against streams that do not go on although another server can.
+func TestStreamAtRenewedServer(t *testing.T) {
+	is := is.New(t)
+	for _, renewed := range []string{"s1", "s2", ""} {
+		b, identities := &brokenStreamBackend{}, &fakeIdentities{renewed: renewed, certain: true}
+		got := serveBroken(t, b, streamRequest(), amrforward.WithIdentities(identities))
+		other := map[string]string{"s1": "s2", "s2": "s1"}[b.servers[0]]
+		if other == renewed {
+			is.Equal(got, "id: 1\ndata: x\n\n")
+			is.Equal(len(b.servers), 1)
+		} else {
+			is.Equal(got, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+		}
+		is.True(identities.asked > 0)
+
+		b = &brokenStreamBackend{servers: []string{"first"}}
+		r := streamRequest()
+		r.LastEventID, r.Resumes = "1", "q"
+		got = serveBroken(t, b, r, amrforward.WithIdentities(identities),
+			amrforward.WithOrigins(fixedOrigin{amrorigin.Origin{Pool: amrorigin.PoolIDOf("app"), Software: amrpool.SoftwareIDOf("")}}))
+		is.Equal(got, "id: 2\ndata: x\n\n")
+		is.True(b.servers[1] != renewed)
+	}
+}
+
+// TestUncertainBeginning guards against a stream that goes on although the server which began
+// it may have had other software than the list said: here, and wherever its caller takes it up.
+func TestUncertainBeginning(t *testing.T) {
+	is := is.New(t)
+	b, origins := &brokenStreamBackend{}, &withdrawals{}
+	got := serveBroken(t, b, streamRequest(), amrforward.WithIdentities(&fakeIdentities{}), amrforward.WithOrigins(origins))
+	is.Equal(got, "id: 1\ndata: x\n\n")
+	is.Equal(len(b.servers), 1)
+	is.Equal(origins.streams, []amrorigin.Stream{amrorigin.StreamOf("r")})
+}
--- a/core/amrforward/origin.go
+++ b/core/amrforward/origin.go
@@ -54,6 +54,7 @@
 func (x *exchange) recordOrigin() {
 	if x.software == 0 {
 		x.software = x.choice.SoftwareID
+		x.began, x.beganAt = x.choice, x.begunAt
 	}
 	x.f.origins.Begin(x.stream(), x.pool, x.software)
 }
--- a/core/amrforward/origin_test.go
+++ b/core/amrforward/origin_test.go
@@ -32,6 +32,8 @@
 
 func (o fixedOrigin) Begin(amrorigin.Stream, string, amrpool.SoftwareID) {}
 
+func (o fixedOrigin) Withdraw(amrorigin.Stream, string) {}
+
 func (o fixedOrigin) Find(context.Context, amrorigin.Stream, string) (amrorigin.Origin, amrorigin.Certainty) {
 	return o.origin, amrorigin.Known
 }
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -65,6 +65,9 @@
 	if !errors.Is(err, errNotResumed) && !errors.Is(err, errEventTooLarge) {
 		x.updateStrikes(x.f.clock.Now(), choice.Name, amrpool.Failed)
 	}
+	if r := x.checkBeginning(ctx); r != nil {
+		return true, r
+	}
 	if x.headerWritten && !x.canResume() {
 		return true, x.refusal(amrreason.EngineLost, 0, "the answer was truncated")
 	}
--- a/core/amrorigin/directory.go
+++ b/core/amrorigin/directory.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// unknownSoftware stands for the version of a stream that was withdrawn.
+const unknownSoftware amrpool.SoftwareID = 0
+
+// Withdraw records that the version at which the stream of the pool began is not known,
+// whatever Begin was told. The routers that may have been told of the stream are told.
+func (d *Directory) Withdraw(s Stream, pool string) {
+	origin := Origin{Pool: PoolIDOf(pool), Software: unknownSoftware}
+	d.mu.Lock()
+	d.streams.Add(s, record{origin: origin, at: d.clock.Now()})
+	d.mu.Unlock()
+	d.publish([]StreamRow{{s, origin}})
+}
+
 // observe updates the ledger of the pool. When another version has appeared, other routers
 // are told of the streams that have begun before.
 func (d *Directory) observe(pool string) {
--- a/core/amrorigin/find.go
+++ b/core/amrorigin/find.go
@@ -24,6 +24,9 @@
 func (d *Directory) Find(ctx context.Context, s Stream, pool string) (Origin, Certainty) {
 	d.observe(pool)
 	found, how := d.find(ctx, s, pool)
+	if found.origin.Software == unknownSoftware {
+		found.certainty, how = Unknown, Unknown.String()
+	}
 	d.metrics.found.WithLabelValues(how).Inc()
 	return found.origin, found.certainty
 }
--- a/core/amrorigin/store_test.go
+++ b/core/amrorigin/store_test.go
@@ -198,6 +198,7 @@
 //
 //	list SERVER VERSION        a server is listed; without a version it leaves
 //	begin ROUTER ID VERSION    the router passes on a stream
+//	withdraw ROUTER ID         the router does not know the version of a stream that it passed on
 //	write                      routers write what is due
 //	lose ROUTER                the router is gone
 //	cut|heal ROUTER...         the routers are cut off from the store and all routers, or no more
@@ -234,6 +235,8 @@
 		f.follow()
 	case "begin":
 		f.begin(router, words[2], words[3])
+	case "withdraw":
+		f.directories[f.hosts[router]].Withdraw(StreamOf(words[2]), testPool)
 	case "write":
 		f.write(t.Context())
 	case "lose":
--- a/core/amrpool/fleet.go
+++ b/core/amrpool/fleet.go
@@ -179,6 +179,18 @@
 	f.pools[l.Pool] = append(f.pools[l.Pool], s)
 }
 
+// Listing returns the listing of the named server, and false if it is not listed or counts as
+// gone.
+func (f *Fleet) Listing(name string) (Listing, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.byName[name]
+	if s == nil || !s.goneAt.IsZero() {
+		return Listing{}, false
+	}
+	return s.Listing, true
+}
+
 // RemoveServer removes the named backend server after the grace time. Until
 // then the server gets requests only if no other server is available. A grace
 // time is useful if the platform may have lost the listing only temporarily.
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -129,10 +129,11 @@
 	Address        string
 	Software       string // Version of the server's software; empty if unknown.
 	SoftwareID     SoftwareID
-	WeightsVersion int    // Version of the model's weights that the server is assumed to hold; 0 if unknown.
-	CacheSalt      string // Salt of cache keys that separates parts of different weights and isolated teams.
-	FetchFrom      string // Address of a server or store that may have missing parts; empty if there is none.
-	SaveTo         string // Address of the store to which the server must save the parts; empty if they need not be saved.
+	Started        time.Time // Identifies the incarnation of the server that was listed.
+	WeightsVersion int       // Version of the model's weights that the server is assumed to hold; 0 if unknown.
+	CacheSalt      string    // Salt of cache keys that separates parts of different weights and isolated teams.
+	FetchFrom      string    // Address of a server or store that may have missing parts; empty if there is none.
+	SaveTo         string    // Address of the store to which the server must save the parts; empty if they need not be saved.
 
 	CachedTokens  int           // Prompt tokens assumed to be cached at the server.
 	PrefillTokens int           // Prompt tokens assumed to need processing, with those of fetched parts weighted by transferCost.
@@ -363,6 +364,7 @@
 		Address:        s.Address,
 		Software:       s.Software,
 		SoftwareID:     s.software,
+		Started:        s.Started,
 		WeightsVersion: version,
 		Cost:           cost,
 		fleet:          f,
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -57,6 +57,7 @@
 	orders      []Order
 	runs        []Run
 	cachedParts map[string]bool // Cached parts of prompts, by cache salt and hash.
+	started     time.Time // Identifies the incarnation.
 	fault       Fault
 	faultsLeft  int           // Number of requests that the fault still applies to; negative for all.
 	leaving     bool          // The server tells in all responses that it is leaving.
@@ -99,12 +100,26 @@
 // loaded. The model is "" for a plain service.
 func NewServer(clock clockwork.Clock, name, model string) *Server {
 	return &Server{
-		Name: name, Model: model, clock: clock,
+		Name: name, Model: model, clock: clock, started: clock.Now(),
 		version: 1, newest: 1, cachedParts: make(map[string]bool),
 		events: 4, pause: 5 * time.Millisecond, loadTime: 30 * time.Millisecond,
 	}
 }
 
+// Started returns the time at which this incarnation of the server started.
+func (s *Server) Started() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
+// Restart begins a new incarnation of the server, which has accepted no orders.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started, s.accepted = s.clock.Now(), 0
+}
+
 // SetFault applies the fault to the next n requests, or to all further requests if
 // n is negative.
 func (s *Server) SetFault(f Fault, n int) {
@@ -245,7 +260,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"models":[{"name":%q,"version":%d}],"busy":%v,"seq":%d,"waiting":0,"running":0}`, s.Model, s.version, s.loading, s.accepted)
+	fmt.Fprintf(w, `{"models":[{"name":%q,"version":%d}],"busy":%v,"seq":%d,"waiting":0,"running":0,"born":%d}`, s.Model, s.version, s.loading, s.accepted, s.started.UnixMilli())
 }
 
 // order accepts or refuses an order to load weights. It refuses an invalid one with
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -190,7 +190,7 @@
 	if modelName != "" {
 		backend.SetMemory(amrsite.EngineMemory)
 	}
-	entry := amrsite.NewEntry(pool, proxy.Address(), modelName, s.clock.Now())
+	entry := amrsite.NewEntry(pool, proxy.Address(), modelName, backend.Started())
 	if modelName != "" {
 		entry = entry.WithSoftware(softwareVersions[len(s.servers)%len(softwareVersions)])
 	}
