Ask a server itself for its incarnation, and let the fault soak renew engines under their names

Cause: the list counted as current for 0.25 s after it had been confirmed.

Change: before a stream goes on at a server, and when it has broken off, the server's own report is asked first. A beginning counts by the list only if that showed the server until 1 s later.

TestCheckSoftware has cases for renewed engines, TestCheckEvents is new.

--- a/core/amrdirect/identities_test.go
+++ b/core/amrdirect/identities_test.go
@@ -59,37 +59,45 @@
 	fleet.UpdateServer(listing)
 	choice, _ := fleet.Pick(realClock.Now(), amrpool.Request{Pool: "engines"})
 	lists, engines := &switchedLists{}, &bornEngines{}
-	i := &identities{lists: lists, servers: servers, fleet: fleet, engines: engines}
+	i := newIdentities(lists, fleet, engines)
+	i.servers = servers
+	i.observe(realClock.Now(), "e1", start)
+	away := errors.New("the store is away")
 	later := realClock.Now().Add(time.Second) // The list has not been read since.
-
-	is.True(i.Serves(ctx, choice)) // The list is current.
-	is.True(i.Began(ctx, choice, later))
-	lists.err = errors.New("the store is away")
-	is.True(!i.Serves(ctx, choice))
-	is.True(!i.Began(ctx, choice, later))
-	engines.started = start
-	is.True(i.Serves(ctx, choice)) // The server itself says so.
-	is.True(i.Began(ctx, choice, later))
-	engines.started = start.Add(time.Second)
-	is.True(!i.Serves(ctx, choice))
-	is.True(!i.Began(ctx, choice, later))
-	is.True(!i.Began(ctx, choice, realClock.Now().Add(-time.Second))) // Before the first read of the list.
-
+	check := func(serves, began bool) {
+		t.Helper()
+		is.Helper()
+		is.Equal(i.Serves(ctx, choice), serves)
+		is.Equal(i.Began(ctx, choice, later), began)
+	}
+	for _, lists.err = range []error{nil, away} {
+		engines.started = start
+		check(true, true) // The server says that it is the listed one.
+		engines.started = start.Add(time.Second)
+		check(false, false)
+	}
+	engines.started = time.Time{} // It does not answer.
+	check(false, false)
 	lists.err = nil
-	listing.Started = listing.Started.Add(time.Second)
-	fleet.UpdateServer(listing)
-	is.True(!i.Serves(ctx, choice))
-	is.True(i.Began(ctx, choice, later)) // Both incarnations have the same software.
-	listing.Started, listing.Software = listing.Started.Add(time.Second), "v2"
-	fleet.UpdateServer(listing)
-	is.True(!i.Began(ctx, choice, later))
-	table.write("e2")
+	check(true, true) // The list is current.
+
+	list := func(software string) {
+		listing.Started, listing.Software = listing.Started.Add(time.Second), software
+		fleet.UpdateServer(listing)
+		i.observe(realClock.Now(), "e1", listing.Started)
+	}
+	list("v1")
+	check(false, true) // Both incarnations have the same software.
 	began := realClock.Now()
 	for !servers.WasContinuous(began) {
 		table.write("e2")
 		realClock.Sleep(time.Millisecond)
 	}
-	is.True(i.Began(ctx, choice, began)) // It was listed then, as the list has been read since.
+	list("v2")
+	is.True(!i.Began(ctx, choice, began))                       // It may have been listed too late.
+	is.True(!i.Began(ctx, choice, began.Add(-time.Hour)))       // The list was not read then.
+	i.listed["e1"] = incarnation{since: began.Add(2 * listLag)} // As if it had been listed later.
+	is.True(i.Began(ctx, choice, began))
 }
 
 // write writes the row.
--- a/core/amrdirect/router.go
+++ b/core/amrdirect/router.go
@@ -167,7 +167,7 @@
 	r.placer = amrcoord.New(settings.Host, r.fleet, recordNames{r}, r.clock, r.log, r.registry)
 	if deps.Streams != nil {
 		r.streamStore = newOrigins(r)
-		r.identities = &identities{lists: r.streamStore, fleet: r.fleet, engines: deps.Engines}
+		r.identities = newIdentities(r.streamStore, r.fleet, deps.Engines)
 	}
 	r.origins = amrorigin.New(r.fleet, r.clock, r.log, r.originOptions()...)
 	r.quotas = newQuotas(settings.Host, settings.Bounds.Quotas, r.clock, r.boot, r.log, r.registry)
@@ -176,7 +176,7 @@
 	r.strikes = newStrikeWriter(r)
 	r.forward = amrforward.New(r.fleet, deps.Backend, r.forwarderOptions()...)
 	r.rollout = r.newRollout()
-	r.rowApplier = &rowApplier{decoder: deps.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout, quotas: r.quotas, listed: r.origins.RecordList}
+	r.rowApplier = &rowApplier{decoder: deps.Decoder, fleet: r.fleet, forward: r.forward, clock: r.clock, log: r.log, rollout: r.rollout, quotas: r.quotas, listed: r.origins.RecordList, identities: r.identities}
 	r.gossip = amrgossip.New(settings.Host, settings.NoticesAddress, gossipAdapter{router: r}, r.clock, r.log,
 		amrgossip.WithPlacements(r.placer), amrgossip.WithOrigins(r.origins), amrgossip.WithQuotas(r.quotas), amrgossip.WithBudget(settings.noticesBudget()), amrgossip.WithRegisterer(r.registry))
 	if settings.NoticesAddress != "" {
--- a/core/amrdirect/row_applier.go
+++ b/core/amrdirect/row_applier.go
@@ -36,6 +36,8 @@
 	quotas  *quotas
 	listed  func() // Is called after a change of the list of backend servers was applied.
 
+	identities *identities // Nil if nobody asks for them.
+
 	mu            sync.Mutex
 	reconnectedAt time.Time // Time at which the table of backend servers last became reachable again or was restored.
 }
@@ -101,12 +103,20 @@
 			continue
 		}
 		a.fleet.UpdateServer(listing)
+		a.observeIncarnation(now, listing.Name, listing.Started)
 		a.log.Info("backend server listed", "server", listing.Name, "pool", listing.Pool, "address", listing.Address, "zone", listing.AvailabilityZone, "draining", listing.Draining, "software", listing.Software, "weights", listing.Weights, "row-version", row.Version)
 	}
 	a.rollout.signal()
 	a.listed()
 }
 
+// observeIncarnation records the listed incarnation of the server; zero if it has left.
+func (a *rowApplier) observeIncarnation(now time.Time, server string, started time.Time) {
+	if a.identities != nil {
+		a.identities.observe(now, server, started)
+	}
+}
+
 // removeServer removes the backend server whose row was deleted.
 func (a *rowApplier) removeServer(now time.Time, row amrfollow.Row) {
 	a.mu.Lock()
@@ -117,5 +127,6 @@
 		grace = relistGrace
 	}
 	a.fleet.RemoveServer(now, row.Key, grace)
+	a.observeIncarnation(now, row.Key, time.Time{})
 	a.log.Info("backend server left the list", "server", row.Key, "last-resort-for", grace, "row-version", row.Version)
 }
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -57,7 +57,7 @@
 	orders      []Order
 	runs        []Run
 	cachedParts map[string]bool // Cached parts of prompts, by cache salt and hash.
-	started     time.Time // Identifies the incarnation.
+	started     time.Time       // Identifies the incarnation.
 	fault       Fault
 	faultsLeft  int           // Number of requests that the fault still applies to; negative for all.
 	leaving     bool          // The server tells in all responses that it is leaving.
--- a/standin/amrsoak/checker.go
+++ b/standin/amrsoak/checker.go
@@ -76,10 +76,10 @@
 	refused bool // Whether it is not repeatable and its answer promises that it does not run.
 	runs    int  // Number of runs that began at servers.
 
-	rejected      bool     // A server has rejected it.
-	begunAt       string   // Software version of the server that began the stream; empty until the answer has ended.
-	wentOnAt      []string // Servers that went on with the stream.
-	leavingServer string   // The server that ran it last, if that told that it is leaving.
+	rejected      bool        // A server has rejected it.
+	begunAt       string      // Software version of the server that began the stream; empty until the answer has ended.
+	engineRuns    []engineRun // Runs of a stream, oldest first.
+	leavingServer string      // The server that ran it last, if that told that it is leaving.
 }
 
 // poisonState is the observed state of a poison request, which is a request that
@@ -229,9 +229,7 @@
 	c.checkPause(link{tracked.router, run.Server}, now)
 	c.checkLimit(link{tracked.router, run.Server}, now)
 	c.checkQuota(tracked, now)
-	if run.LastEventID != "" {
-		tracked.wentOnAt = append(tracked.wentOnAt, run.Server)
-	}
+	tracked.engineRuns = append(tracked.engineRuns, engineRun{server: run.Server, software: c.software[run.Server], goesOn: run.LastEventID != ""})
 	if !c.disturbances.undisturbed(tracked.router, tracked.sent.Add(-c.timeLimits.settle), now) {
 		return
 	}
@@ -298,6 +296,7 @@
 	c.countLoss(tracked, a, now)
 	c.recordTold(tracked, a, now)
 	c.checkSoftware(tracked, a)
+	c.checkEvents(tracked, a)
 	if undisturbed && now.Sub(tracked.sent) > tracked.request.Timeout+c.timeLimits.answerDelay {
 		c.report("an answer in time", "%s ended %v after it was sent, its deadline was %v", id, now.Sub(tracked.sent), tracked.request.Timeout)
 	}
--- a/standin/amrsoak/checker_test.go
+++ b/standin/amrsoak/checker_test.go
@@ -38,7 +38,7 @@
 
 // run checks a run of the request at the server.
 func (s *checkerTest) run(server string) {
-	s.checkRun(amrsite.Run{ID: "r", Server: server, Header: http.Header{
+	s.checkRun(amrsite.Run{ID: s.tracked.request.ID, Server: server, Header: http.Header{
 		amrsite.TeamHeader: {teamOfKey(s.tracked.request.Key)}, amrsite.DeadlineHeader: {strconv.FormatInt(requestTimeout.Milliseconds(), 10)},
 	}})
 }
--- a/standin/amrsoak/command.go
+++ b/standin/amrsoak/command.go
@@ -29,6 +29,7 @@
 	dir             string
 	faults          []string
 	timeLimitFactor float64
+	resumableOnly   bool
 	race            bool
 	regressions     bool
 	verbose         bool
@@ -61,6 +62,7 @@
 	c.Flags().StringVar(&o.dir, "dir", "", "directory for settings and logs; a temporary one by default")
 	c.Flags().Float64Var(&o.timeLimitFactor, "stretch", 1, "factor of the time limits, for a machine that is busy with other work")
 	c.Flags().StringSliceVar(&o.faults, "faults", nil, "kinds of faults to draw from, by name; all by default")
+	c.Flags().BoolVar(&o.resumableOnly, "resumable-streams", false, "send only requests for streams that can be taken up")
 	c.Flags().BoolVar(&o.regressions, "regressions", false, "run the seeds of regressions.yaml instead of --seed and --seeds")
 	c.Flags().BoolVar(&o.race, "race", false, "build the program with the race detector")
 	c.Flags().BoolVar(&o.verbose, "verbose", false, "print the faults of every seed")
@@ -140,7 +142,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	result, err := Soak{Program: program, Dir: dir, Seed: seed, Length: o.duration, Size: o.size, FaultInterval: o.interval, FaultKinds: r.FaultKinds, FaultNames: o.faults, TimeLimitFactor: o.timeLimitFactor}.Run(ctx)
+	result, err := Soak{Program: program, Dir: dir, Seed: seed, Length: o.duration, Size: o.size, FaultInterval: o.interval, FaultKinds: r.FaultKinds, FaultNames: o.faults, ResumableOnly: o.resumableOnly, TimeLimitFactor: o.timeLimitFactor}.Run(ctx)
 	if err != nil {
 		return fmt.Errorf("seed %d: %w", seed, err)
 	}
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -175,6 +175,8 @@
 		s.restoreStore(f.Length)
 	case killAllMixed:
 		return s.killAllMixed(f)
+	case routerCut:
+		s.cutOff(r, f.Length+cutTime)
 	default:
 		s.injectServerFault(s.servers[f.Server], f)
 	}
@@ -206,6 +208,10 @@
 		s.nameLimit(b, f)
 	case serverEndless:
 		s.failRequests(b, endlessFaults[f.FaultyRequests%len(endlessFaults)], f)
+	case engineRenewed:
+		s.renewEngine(b, f.Length)
+	case engineReplaced:
+		s.replaceEngine(b, f.Length)
 	case serverNoLength:
 		s.failRequests(b, noLengthFaults[f.FaultyRequests%len(noLengthFaults)], f)
 	default:
--- a/standin/amrsoak/faultkind.go
+++ b/standin/amrsoak/faultkind.go
@@ -42,6 +42,9 @@
 	unevenEngines       faultKind = "uneven-engines"       // Engines differ in speed, with noise, and report their pace.
 	slowCallers         faultKind = "slow-callers"         // Callers of a router read large answers slowly or not at all.
 	fullMemory          faultKind = "full-memory"          // Requests are sent that exceed the memory of all engines.
+	engineRenewed       faultKind = "engine-renewed"       // An engine crashes and starts again under its name with another version of its software.
+	engineReplaced      faultKind = "engine-replaced"      // The same, but it is drained before.
+	routerCut           faultKind = "router-cut"           // A router is cut off from the store and from all other routers.
 )
 
 // faultKinds lists the kinds of faults that are selected at random. New kinds
@@ -53,6 +56,7 @@
 	poisonRequest, peersLink, storeRestored, serverTellsLeaving, serverAsksPause, serverEndless, serverNoLength,
 	crashingPart, serverLimit, killAllMixed, quotaExceeded,
 	unevenEngines, slowCallers, fullMemory,
+	engineRenewed, engineReplaced, routerCut,
 }
 
 // kindsNamed returns the kinds with the names, in the order of faultKinds. It returns
--- a/standin/amrsoak/load.go
+++ b/standin/amrsoak/load.go
@@ -26,7 +26,7 @@
 	revocableShare = 0.2 // Share of the requests that use revocableKey.
 )
 
-// routes are the routes of the requests.
+// routes are the routes of the requests, unless the soak test names others.
 var routes = []string{amrsite.NonIdempotentRoute, amrsite.IdempotentRoute, amrsite.StreamRoute, amrsite.ResumableStreamRoute}
 
 // sendLoad sends random requests at a constant rate until ctx is done, and waits
@@ -55,7 +55,7 @@
 		key = revocableKey
 	}
 	return s.pickRouter(random), amrsite.Request{
-		ID: id, Route: routes[random.IntN(len(routes))], Key: key, Model: modelName, Timeout: requestTimeout,
+		ID: id, Route: s.routes[random.IntN(len(s.routes))], Key: key, Model: modelName, Timeout: requestTimeout,
 		PromptParts: fmt.Sprintf("%08x:800,%08x:410,%s:250", random.IntN(sharedParts), random.IntN(sharedParts), id),
 	}
 }
--- a/standin/amrsoak/serverfault.go
+++ b/standin/amrsoak/serverfault.go
@@ -53,8 +53,9 @@
 	defer s.mu.Unlock()
 	s.checker.recordDraining(b.Name, false)
 	s.checker.forgetServer(b.Name)
+	b.Restart()
 	b.entry.Seq++
-	b.entry.Born = s.clock.Now().UnixMilli()
+	b.entry.Born = b.Started().UnixMilli()
 	b.listed = b.entry
 	s.store.PutServer(b.Name, b.listed)
 }
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -83,6 +83,7 @@
 	routers []*router
 	servers []*server
 	proxies []*TCPProxy
+	routes  []string           // Routes of the load.
 	group   errgroup.Group     // Runs the stand-ins.
 	stop    context.CancelFunc // Stops the stand-ins.
 
@@ -106,7 +107,7 @@
 // canceled earlier.
 func startSite(ctx context.Context, clock clockwork.Clock, checker *Checker, program, dir string, size Size) (*site, error) {
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	s := &site{clock: clock, checker: checker, store: amrsite.NewStore(clock), stop: stop, weightsVersion: 1}
+	s := &site{clock: clock, checker: checker, store: amrsite.NewStore(clock), stop: stop, routes: routes, weightsVersion: 1}
 	err := s.setUp(ctx, program, dir, size)
 	if err != nil {
 		return nil, errors.Join(err, s.close())
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -52,6 +52,7 @@
 	FaultInterval   time.Duration // Mean time between the starts of two faults; 0 for defaultFaultInterval.
 	FaultKinds      int           // Number of kinds of faults, from the start of the list of all kinds; 0 for all.
 	FaultNames      []string      // Names of the kinds of faults; empty for all kinds that FaultKinds allows.
+	ResumableOnly   bool          // All requests are for streams that can be taken up.
 	TimeLimitFactor float64       // Factor of the time limits, for a busy machine; 0 is equivalent to 1.
 }
 
@@ -92,6 +93,9 @@
 	if err != nil {
 		return Result{}, err
 	}
+	if s.ResumableOnly {
+		site.routes = []string{amrsite.ResumableStreamRoute}
+	}
 	err = site.runFaults(ctx, random, faults)
 	if err == nil {
 		site.waitForRecovery(ctx)
--- a/standin/amrsoak/soak_test.go
+++ b/standin/amrsoak/soak_test.go
@@ -55,6 +55,33 @@
 	}
 }
 
+// streamPromises are the promises of streams that TestSoakStreams checks. The others are those
+// of the whole load, which more streams than the engines have room for would break.
+var streamPromises = []string{"streams keep their software version", "events in order", "complete answers", "at most once"}
+
+// TestSoakStreams guards against streams with events of two software versions, or with events
+// that are missing, come twice or are out of order, while engines start again under their names
+// with other software, and routers are killed and cut off.
+func TestSoakStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dir := t.TempDir()
+	program, err := Build(t.Context(), dir, false)
+	is.NoErr(err)
+	soak := Soak{
+		Program: program, Dir: dir, Seed: 92201, Length: 12 * time.Second, Size: Size{Routers: 3, Engines: 6, Services: 1}, ResumableOnly: true,
+		FaultNames: []string{string(engineRenewed), string(engineReplaced), string(routerCut), string(killRouter), string(storeDown), string(serverErrors)},
+	}
+	result, err := soak.Run(t.Context())
+	is.NoErr(err)
+	for _, v := range result.Violations {
+		if slices.Contains(streamPromises, v.Promise) {
+			t.Error(v)
+		}
+	}
+	is.True(result.AllTakenUp.all > 0)
+}
+
 func TestRegressions(t *testing.T) {
 	is := is.New(t)
 	known, err := Regressions()
--- a/standin/amrsoak/takeup.go
+++ b/standin/amrsoak/takeup.go
@@ -22,23 +22,42 @@
 	takeUpTime     = 4 * time.Second        // Time for which a stream is taken up; longer than one fault keeps all routers down.
 )
 
+// maxTakeUps is the number of times that a caller takes a stream up again which has broken
+// off once more.
+const maxTakeUps = 3
+
 // takeUp takes a stream up again that broke off after its caller had got some events, at
-// a router that is ready. It tries again if no router accepts the connection, as after a
-// kill of all routers.
+// a router that is ready, and again if it breaks off there.
 func (s *site) takeUp(random *rand.Rand, begun *trackedRequest, got amrsite.Response) {
-	events := strings.Count(got.Body, "\n\n")
-	if begun.request.Route != amrsite.ResumableStreamRoute || got.Status != http.StatusOK || got.Err == nil || events == 0 {
+	if begun.request.Route != amrsite.ResumableStreamRoute {
 		return
 	}
-	request := begun.request
-	request.Resumes, request.LastEventID = begun.request.ID, strconv.Itoa(events)
+	last := 0
+	for n := range maxTakeUps {
+		events := strings.Count(got.Body, "\n\n")
+		if got.Status != http.StatusOK || got.Err == nil || events == 0 {
+			return
+		}
+		last += events
+		request := begun.request
+		request.ID = fmt.Sprintf("%s-again-%d", begun.request.ID, n+1)
+		request.Resumes, request.LastEventID = begun.request.ID, strconv.Itoa(last)
+		got = s.takeUpOnce(random, request)
+	}
+}
+
+// takeUpOnce sends the request that takes a stream up. It tries again if no router accepts the
+// connection, as after a kill of all routers.
+func (s *site) takeUpOnce(random *rand.Rand, request amrsite.Request) amrsite.Response {
+	id := request.ID
 	for i, begin := 1, s.clock.Now(); s.clock.Since(begin) < takeUpTime; i++ {
-		request.ID = fmt.Sprintf("%s-again-%d", begun.request.ID, i)
+		request.ID = fmt.Sprintf("%s-%d", id, i)
 		if _, answer := s.sendTracked(s.pickRouter(random), request); answer.Status != 0 {
-			return
+			return answer
 		}
 		s.clock.Sleep(takeUpInterval)
 	}
+	return amrsite.Response{}
 }
 
 // leaveDelay is the time from the departure of the engines of one software version until
@@ -76,25 +95,57 @@
 	c.software[server] = version
 }
 
-// checkSoftware checks that all servers that went on with a stream have the software
+// engineRun is a run of a stream at an engine, with the software that the engine had then.
+type engineRun struct {
+	server   string
+	software string
+	goesOn   bool // The engine went on with the stream.
+}
+
+// checkSoftware checks that all servers that went on with a stream had the software
 // version of the one that began it. The caller must hold c.mu.
 func (c *Checker) checkSoftware(tracked *trackedRequest, a amrsite.Response) {
 	if a.Status != http.StatusOK || tracked.request.Route != amrsite.ResumableStreamRoute || !strings.Contains(a.Body, "\n\n") {
 		return
 	}
 	if tracked.begunAt == "" {
-		tracked.begunAt = c.software[amrsite.ServerOfStamp(a.Stamp)]
+		tracked.begunAt = c.softwareOf(tracked, amrsite.ServerOfStamp(a.Stamp))
 		if begun := c.requests[tracked.request.Resumes]; begun != nil {
 			tracked.begunAt = begun.begunAt
 		}
 	}
-	for _, server := range tracked.wentOnAt {
-		if c.software[server] != tracked.begunAt {
-			c.report("streams keep their software version", "%s began at %s and went on at %s with %s", tracked.request.ID, tracked.begunAt, server, c.software[server])
+	for _, run := range tracked.engineRuns {
+		if run.goesOn && run.software != tracked.begunAt {
+			c.report("streams keep their software version", "%s began at %s and went on at %s with %s", tracked.request.ID, tracked.begunAt, run.server, run.software)
 		}
 	}
 }
 
+// softwareOf returns the software that the server had when it ran the request. The caller
+// must hold c.mu.
+func (c *Checker) softwareOf(tracked *trackedRequest, server string) string {
+	for _, run := range tracked.engineRuns {
+		if run.server == server {
+			return run.software
+		}
+	}
+	return c.software[server]
+}
+
+// checkEvents checks that the caller of a stream that broke off got its events in order, none
+// twice and none left out. Whole answers are compared as a whole. The caller must hold c.mu.
+func (c *Checker) checkEvents(tracked *trackedRequest, a amrsite.Response) {
+	if a.Status != http.StatusOK || a.Err == nil || !tracked.request.Stream() || tracked.request.Flood > 0 {
+		return
+	}
+	last, _ := strconv.Atoi(tracked.request.LastEventID) // 0 for a new stream.
+	whole := strings.TrimPrefix(amrsite.StreamBody(c.streamEvents), amrsite.StreamBody(last))
+	events := a.Body[:strings.LastIndex("\n\n"+a.Body, "\n\n")] // It may have broken off inside an event.
+	if !strings.HasPrefix(whole, events) {
+		c.report("events in order", "%s after event %d got from %q: %q", tracked.request.ID, last, a.Stamp, a.Body)
+	}
+}
+
 // countTakenUp counts the answer to a request that takes a stream up, or begins one, and
 // whose router was not disturbed. Requests that servers have rejected, or that were sent
 // beside extra load, do not count: too few servers have room then, perhaps of one software
--- a/standin/amrsoak/takeup_test.go
+++ b/standin/amrsoak/takeup_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,7 @@
 		broken              bool
 	}{
 		{"", "", false}, {"b", "", false}, {"c", "", true}, {"", "b", false}, {"b", "a", false}, {"", "c", true}, {"b", "c", true},
+		{"a renewed", "", true}, {"", "a renewed", true}, {"b", "a renewed", true},
 	} {
 		t.Run(fmt.Sprint(c.inAnswer, "-", c.takenUpAt), func(t *testing.T) {
 			is := is.New(t)
@@ -64,8 +66,12 @@
 				s.recordSoftware(server, version)
 			}
 			run := func(server string) {
+				server, renewed := strings.CutSuffix(server, " renewed")
+				if renewed {
+					s.recordSoftware(server, "v1.1") // It has started again under its name.
+				}
 				s.run(server)
-				s.tracked.wentOnAt = append(s.tracked.wentOnAt, server)
+				s.tracked.engineRuns[len(s.tracked.engineRuns)-1].goesOn = true
 			}
 			s.run("a")
 			if c.inAnswer != "" {
@@ -74,16 +80,48 @@
 			s.checkAnswer(s.tracked, amrsite.Response{Status: 200, Stamp: "stamp-of-a", Body: amrsite.StreamBody(1), Err: errors.New("cut")}, nil)
 			if c.takenUpAt != "" {
 				begun := s.tracked
-				s.tracked = s.recordSend(amrsite.Request{ID: "r2", Route: amrsite.ResumableStreamRoute, Key: permanentKey, Resumes: begun.request.ID, LastEventID: "1"}, "router-2")
-				s.tracked.wentOnAt = []string{c.takenUpAt}
-				s.tracked.runs = 1
-				s.answer(200, "stamp-of-"+c.takenUpAt, "id: 2\ndata: token\n\n")
+				s.tracked = s.recordSend(amrsite.Request{ID: "r2", Route: amrsite.ResumableStreamRoute, Key: permanentKey, Timeout: requestTimeout, Resumes: begun.request.ID, LastEventID: "1"}, "router-2")
+				run(c.takenUpAt)
+				s.answer(200, "stamp-of-"+strings.TrimSuffix(c.takenUpAt, " renewed"), "id: 2\ndata: token\n\n")
 			}
 			is.Equal(len(s.Violations()) > 0, c.broken)
 		})
 	}
 }
 
+// TestCheckEvents checks that the Checker reports streams with events that are missing, come
+// twice or are out of order, also if the answer has broken off inside an event.
+func TestCheckEvents(t *testing.T) {
+	event := func(id int) string { return fmt.Sprintf("id: %d\ndata: token\n\n", id) }
+	for _, c := range []struct {
+		last   string
+		body   string
+		broken bool
+	}{
+		{"", "", false},
+		{"", event(1) + event(2), false},
+		{"", event(1) + "id: 2\nda", false},
+		{"", "id: 1\nda", false},
+		{"1", event(2), false},
+		{"", event(2), true},
+		{"", event(1) + event(3), true},
+		{"", event(1) + event(1), true},
+		{"", event(2) + event(1), true},
+		{"1", event(1) + event(2), true},
+		{"1", event(3), true},
+		{"", event(1) + "id: 2\nda" + event(2), true},
+	} {
+		t.Run(fmt.Sprintf("%s %q", c.last, c.body), func(t *testing.T) {
+			is := is.New(t)
+			s := newCheckerTest(amrsite.ResumableStreamRoute, permanentKey)
+			s.tracked = s.recordSend(amrsite.Request{ID: "r2", Route: amrsite.ResumableStreamRoute, Key: permanentKey, Timeout: requestTimeout, LastEventID: c.last}, "router-1")
+			s.run("a")
+			s.checkAnswer(s.tracked, amrsite.Response{Status: 200, Stamp: "stamp-of-a", Body: c.body, Err: errors.New("cut")}, nil)
+			is.Equal(len(s.Violations()) > 0, c.broken)
+		})
+	}
+}
+
 // TestCheckTakenUp checks that the Checker reports routers which refuse streams that callers
 // take up, and not those whose servers reject them.
 func TestCheckTakenUp(t *testing.T) {
