Ask a server for its incarnation when a stream begins there while the list cannot be read

Cause: engines started again under their names while the store was away for 4 s. A router recorded the listed version for streams that began there. It was paused, callers left and took the streams up. The beginning was checked only when a stream broke off. Ruled out: a lost row or message (the origin was known, and wrong).

Change: a router that knows that it cannot follow the list asks the server before it passes on the first event; if that is not the listed incarnation, the stream is withdrawn at once. It costs one report for each stream that begins in an outage of the store.

Tests: TestUncertainBeginningOfLeavingCaller, cases of TestUncertainBeginning and TestIdentities (need what is new).

--- a/core/amrdirect/identities.go
+++ b/core/amrdirect/identities.go
@@ -63,6 +63,17 @@
 	return i.lists.ConfirmLists(ctx) == nil && ok && listed.Started.Equal(c.Started)
 }
 
+// Begins reports whether a stream that the chosen server has just begun is sure to have begun
+// at the software of its listing. That is so while the list is followed. Otherwise the server is
+// asked: its caller may leave, or this router end, before anybody else could.
+func (i *identities) Begins(ctx context.Context, c *amrpool.Choice) bool {
+	if c.Started.IsZero() || i.servers.Connected() {
+		return true
+	}
+	started, err := i.askServer(ctx, c)
+	return err == nil && started.Equal(c.Started)
+}
+
 // Began reports whether the chosen server had the software of its listing at the time, which
 // is earlier. That is so if it still is the same incarnation, or a current list tells of the
 // same software, or it was the listed one for long enough, in a time without a gap.
--- a/core/amrdirect/identities_test.go
+++ b/core/amrdirect/identities_test.go
@@ -81,6 +81,16 @@
 	lists.err = nil
 	check(true, true) // The list is current.
 
+	is.True(i.Begins(ctx, choice)) // The list is followed.
+	unread := amrfollow.New("servers", table, newTestRollout(0).log, func(amrfollow.Update) {})
+	i.servers = unread
+	is.True(!i.Begins(ctx, choice))
+	engines.started = start
+	is.True(i.Begins(ctx, choice))
+	engines.started = start.Add(time.Second)
+	is.True(!i.Begins(ctx, choice))
+	engines.started, i.servers = time.Time{}, servers
+
 	list := func(software string) {
 		listing.Started, listing.Software = listing.Started.Add(time.Second), software
 		fleet.UpdateServer(listing)
--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -86,6 +86,7 @@
 	software      amrpool.SoftwareID // Version of the software that began the stream; 0 while none has.
 	began         *amrpool.Choice    // Server that began the stream in this answer; nil while none has.
 	beganAt       time.Time          // Time at which it began.
+	withdrawn     bool               // It is not certain which software began it.
 	firstByte     time.Time
 	status        int
 	writeErr      error
--- a/core/amrforward/identity_test.go
+++ b/core/amrforward/identity_test.go
@@ -39,6 +39,7 @@
 // beginnings of all streams whether they are certain.
 type fakeIdentities struct {
 	renewed string
+	unsure  bool // Beginnings are not certain from the first event on.
 	certain bool
 	asked   int
 }
@@ -48,6 +49,8 @@
 	return c.Name != i.renewed
 }
 
+func (i *fakeIdentities) Begins(context.Context, *amrpool.Choice) bool { return !i.unsure }
+
 func (i *fakeIdentities) Began(context.Context, *amrpool.Choice, time.Time) bool { return i.certain }
 
 // withdrawals records the streams that were withdrawn.
@@ -100,9 +103,36 @@
 // it may have had other software than the list said: here, and wherever its caller takes it up.
 func TestUncertainBeginning(t *testing.T) {
 	is := is.New(t)
-	b, origins := &brokenStreamBackend{}, &withdrawals{}
-	got := serveBroken(t, b, streamRequest(), amrforward.WithIdentities(&fakeIdentities{}), amrforward.WithOrigins(origins))
-	is.Equal(got, "id: 1\ndata: x\n\n")
-	is.Equal(len(b.servers), 1)
-	is.Equal(origins.streams, []amrorigin.Stream{amrorigin.StreamOf("r")})
+	for _, identities := range []*fakeIdentities{{}, {unsure: true, certain: true}} {
+		b, origins := &brokenStreamBackend{}, &withdrawals{}
+		got := serveBroken(t, b, streamRequest(), amrforward.WithIdentities(identities), amrforward.WithOrigins(origins))
+		is.Equal(got, "id: 1\ndata: x\n\n")
+		is.Equal(len(b.servers), 1)
+		is.Equal(origins.streams, []amrorigin.Stream{amrorigin.StreamOf("r")})
+	}
+}
+
+// leavingCaller is a caller that leaves after the first event.
+type leavingCaller struct {
+	*httptest.ResponseRecorder
+}
+
+func (c leavingCaller) Write(p []byte) (int, error) {
+	n, _ := c.ResponseRecorder.Write(p)
+	return n, io.ErrClosedPipe
+}
+
+// TestUncertainBeginningOfLeavingCaller guards against a stream whose caller leaves after the
+// first event, takes it up elsewhere, and gets events of other software.
+func TestUncertainBeginningOfLeavingCaller(t *testing.T) {
+	is := is.New(t)
+	for _, unsure := range []bool{true, false} {
+		origins := &withdrawals{}
+		forward := newEventSite(&brokenStreamBackend{}, amrforward.WithIdentities(&fakeIdentities{unsure: unsure, certain: true}), amrforward.WithOrigins(origins))
+		func() {
+			defer func() { _ = recover() }() // How a broken answer ends.
+			forward.Serve(t.Context(), leavingCaller{httptest.NewRecorder()}, streamRequest())
+		}()
+		is.Equal(len(origins.streams) == 1, unsure)
+	}
 }
--- a/core/amrforward/origin.go
+++ b/core/amrforward/origin.go
@@ -51,10 +51,14 @@
 
 // recordOrigin records which software version begins the stream, immediately before the
 // caller gets the first event of the present server.
-func (x *exchange) recordOrigin() {
+func (x *exchange) recordOrigin(ctx context.Context) {
 	if x.software == 0 {
 		x.software = x.choice.SoftwareID
 		x.began, x.beganAt = x.choice, x.begunAt
+		if !x.f.identities.Begins(ctx, x.choice) {
+			x.withdraw()
+			return
+		}
 	}
 	x.f.origins.Begin(x.stream(), x.pool, x.software)
 }
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -47,7 +47,7 @@
 		}
 		return x.relayFinal(ctx, a)
 	}
-	err := x.copyAnswer(a)
+	err := x.copyAnswer(ctx, a)
 	switch {
 	case err == nil && a.Status < http.StatusInternalServerError:
 		x.recordSend(choice, start, amrpool.Completed, "")
@@ -90,7 +90,7 @@
 // relayFinal copies to the caller an answer with a server error after which no
 // retry is allowed.
 func (x *exchange) relayFinal(ctx context.Context, a *Answer) (done bool, r *refusal) {
-	if err := x.copyAnswer(a); err != nil {
+	if err := x.copyAnswer(ctx, a); err != nil {
 		if errors.Is(err, errCallerGone) {
 			return true, x.refusalForContext(ctx)
 		}
@@ -102,7 +102,7 @@
 // copyAnswer writes the header and the body of the answer to the caller. If
 // the header is already written, the answer must be the rest of a resumed
 // stream. The error is errCallerGone if the caller disconnected.
-func (x *exchange) copyAnswer(a *Answer) error {
+func (x *exchange) copyAnswer(ctx context.Context, a *Answer) error {
 	if x.request.Held != nil {
 		x.ahead = x.newReadAhead(a.Body)
 		a.Body = x.ahead
@@ -111,10 +111,10 @@
 		if a.Status != http.StatusOK {
 			return fmt.Errorf("%w: status %d", errNotResumed, a.Status)
 		}
-		return x.copyStream(a)
+		return x.copyStream(ctx, a)
 	}
 	if x.route.Kind == amrroute.Stream && a.Status < http.StatusMultipleChoices {
-		return x.copyStream(a)
+		return x.copyStream(ctx, a)
 	}
 	return x.copyUnstreamed(a)
 }
@@ -156,7 +156,7 @@
 // complete events until the stream has ended, because another server can only
 // continue after a complete event. It returns an error if the end shows that the
 // stream broke off, also where the server marked the end as that of the answer.
-func (x *exchange) copyStream(a *Answer) error {
+func (x *exchange) copyStream(ctx context.Context, a *Answer) error {
 	// Another server may continue the stream, and a caller that has received all
 	// bytes could not be told that the last event is incomplete.
 	a.Length = -1
@@ -184,7 +184,7 @@
 		if x.begunAt.IsZero() {
 			x.begunAt = x.f.clock.Now()
 			if resumable {
-				x.recordOrigin()
+				x.recordOrigin(ctx)
 			}
 		}
 		x.writeHeader(a)
