Leave the room of a block that a slow caller has read to its own answer

Cause: when all room for reading ahead is taken, an answer with many blocks waits for room. Others took the room of each block that its caller had read, so that nothing was read from the server for seconds, and the server cut the answer off. Ruled out: the account (nothing was broken off by it).

Change: the room of a block goes to the goroutine of the same answer if that waits.

--- a/core/amrforward/read_ahead.go
+++ b/core/amrforward/read_ahead.go
@@ -39,6 +39,8 @@
 	started      bool
 	stopped      bool
 	blocks       []*aheadBlock // The first one is not counted, as without reading ahead.
+	waiting      bool          // The goroutine waits for room for a block.
+	granted      bool          // It may use the room of a block that the caller has read.
 	err          error         // Of the last read from the server.
 }
 
@@ -127,12 +129,15 @@
 		if n := len(r.blocks); n > 0 && r.blocks[n-1].end < copyBufferBytes {
 			return r.blocks[n-1]
 		}
-		if len(r.blocks) == 0 || r.held.TryAhead(copyBufferBytes) {
+		if len(r.blocks) == 0 || r.granted || r.held.TryAhead(copyBufferBytes) {
+			r.granted = r.granted && len(r.blocks) == 0
 			b := &aheadBlock{data: copyBuffers.Get().(*[copyBufferBytes]byte)}
 			r.blocks = append(r.blocks, b)
 			return b
 		}
+		r.waiting = true
 		r.changed.Wait()
+		r.waiting = false
 	}
 	return nil
 }
@@ -168,11 +173,17 @@
 	return n
 }
 
-// drop removes the first block. The caller must hold r.mu.
+// drop removes the first block. Its room goes to the goroutine if that waits: others may take
+// all room that becomes free, and the server cuts off an answer that is not read meanwhile. The
+// caller must hold r.mu.
 func (r *readAhead) drop() {
 	copyBuffers.Put(r.blocks[0].data)
 	r.blocks = r.blocks[1:]
-	if len(r.blocks) > 0 {
+	switch {
+	case len(r.blocks) == 0:
+	case r.waiting && !r.granted:
+		r.granted = true
+	default:
 		r.held.ReleaseAhead(copyBufferBytes)
 	}
 }
@@ -194,5 +205,8 @@
 	for len(r.blocks) > 0 {
 		r.drop()
 	}
+	if r.granted {
+		r.held.ReleaseAhead(copyBufferBytes)
+	}
 	return r.Body.Close()
 }
