Give the lease of orders up when a router that stops has ended its rollout

Cause: lets a stopping router take part in rollouts until it serves callers no more. It resigned only then, when the lease had expired. Hosts that start must then wait until it expires.

Change: a stopping router resigns as soon as no rollout is in progress. It may take the lease again.

--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -94,8 +94,9 @@
 
 // Run plans and carries out changes until ctx is done. After stopping is done, it
 // goes on while callers are served, since all other routers may be stopping too, and
-// then with the rollout in progress, for at most the limit in all. Before it
-// returns, it waits for changes in progress and resigns the lease.
+// then with the rollout in progress, for at most the limit in all. It resigns the lease
+// when no rollout is in progress any more. Before it returns, it waits for changes in
+// progress.
 func (r *rollout) Run(ctx, stopping, serving context.Context, limit time.Duration) error {
 	stopped, served := stopping.Done(), serving.Done()
 	for ctx.Err() == nil {
@@ -104,8 +105,11 @@
 		if busy {
 			pause = rolloutInterval
 		}
-		if stopping.Err() != nil && serving.Err() != nil && !busy {
-			break
+		if stopping.Err() != nil && !busy {
+			if serving.Err() != nil {
+				break
+			}
+			r.resign(ctx) // Others need not wait until the lease expires.
 		}
 		timer := r.clock.NewTimer(pause)
 		select {
--- a/core/amrdirect/stopping_test.go
+++ b/core/amrdirect/stopping_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -88,6 +89,13 @@
 // staleLimit is the time after which the routers send no requests to engines with old weights.
 const staleLimit = 6 * time.Second
 
+// givenUp reports whether the row of the lease says that its holder has resigned.
+func (s *orderSite) givenUp() bool {
+	s.table.mu.Lock()
+	defer s.table.mu.Unlock()
+	return strings.Contains(string(s.table.rows[leaseKey+"/1"].Value), `"resigned":true`)
+}
+
 // name declares new weights at the routers.
 func (s *orderSite) name(routers ...*rollout) {
 	for _, r := range routers {
@@ -126,6 +134,7 @@
 			second.fleet.ObserveVersion(name, "m1", 2) // As the list of servers tells it.
 		}
 		realClock.Sleep(500 * time.Millisecond)
+		is.True(s.givenUp()) // Routers that start need not wait until the lease expires.
 		endServing()
 		ended := realClock.Now()
 		is.NoErr(routers.Wait()) // Nothing is left to do, so that they end before the limit.
