Let requests wait for the first report of a server's load instead of refusing them

What callers saw: with `server-memory: hard`, a router that has just started refused requests as overloaded while all engines were idle, for some hundred milliseconds, and sent callers away for up to 1.765 s.

Cause: until a server has reported its load, with the header of an answer, a router has one request in flight there. What it does not know yet counted as a shortage of memory, was refused at once, and took a turn among the callers that come back. It is the same where a router has no request at a server whose last report counts those of others.

Ruled out: late coordinators alone (they explain the few refusals that are left when 24 soaks run at once); the load itself (the engines had nothing to do).

Fix: what depends on reports is a shortage of its own, short-of=reports. The request waits for the report, at most 0.4 s; callers that are refused then take no turn. What the requests that the router knows of leave no room for is refused at once, as before.

--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -47,6 +47,10 @@
 	// maxPartsWait is the longest time for which a request waits for another
 	// request that is computing shared parts of its prompt.
 	maxPartsWait = 300 * time.Millisecond
+
+	// maxReportWait is the longest time for which a request waits for servers to report their
+	// load, with the answers to other requests.
+	maxReportWait = 400 * time.Millisecond
 )
 
 // exchange is the state of one request while it is being served.
@@ -137,7 +141,7 @@
 // pickServer picks a backend server from the fleet. It waits for a limited time
 // in the cases that usually resolve soon: all servers are changing their
 // weights, another request is computing shared parts of the prompt, or the
-// router has just started and may not know its servers yet.
+// router has just started and may not know its servers, or their load, yet.
 func (x *exchange) pickServer(ctx context.Context) (*amrpool.Choice, *refusal) {
 	start := x.f.clock.Now()
 	for {
@@ -153,6 +157,7 @@
 			x.skipPartsWait = true
 			continue
 		case reason == amrpool.AllChanging && now.Sub(start) < maxWeightsWait:
+		case denial.Short == amrpool.ShortOfReports && now.Sub(start) < maxReportWait:
 		case reason == amrpool.NoServer && now.Sub(x.f.started) < x.f.warmUp:
 		default:
 			return nil, x.refusalForDenial(denial)
--- a/core/amrpool/admission.go
+++ b/core/amrpool/admission.go
@@ -25,11 +25,12 @@
 	ShortOfSlots                    // Too many requests hold or wait for slots.
 	ShortOfMemory                   // Too many tokens are held.
 	ShortOfFairPart                 // The team has more than its fair part and would wait too long.
+	ShortOfReports                  // Servers may have memory, but their reports tell too little of other routers' requests.
 )
 
 // String returns the text of the shortage in logs.
 func (s Shortage) String() string {
-	return [...]string{"nothing", "prefill", "slots", "memory", "fair-part"}[min(max(s, 0), ShortOfFairPart)]
+	return [...]string{"nothing", "prefill", "slots", "memory", "fair-part", "reports"}[min(max(s, 0), ShortOfReports)]
 }
 
 // WithAdmissionByUrgency lets all pools admit requests by urgency. By default, only
--- a/core/amrpool/memory.go
+++ b/core/amrpool/memory.go
@@ -1,6 +1,9 @@
 package amrpool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxRequestAge is the time after which the requests that other routers placed at a
@@ -164,46 +167,79 @@
 	return f.hardMemory && r.Model != "" && bound > 0 && r.PromptTokens+r.OutputTokens > bound
 }
 
-// fits reports whether the server's memory holds the request beside those in flight. It
+// memoryFit says whether a server's memory holds a request beside those in flight.
+type memoryFit int
+
+const (
+	noRoom      memoryFit = iota // Requests in flight hold the memory, or this router's share of it.
+	roomUnknown                  // Depends on requests of other routers, of which the reports of the server tell too little.
+	hasRoom
+)
+
+// fits reports whether the server's memory is known to hold the request beside those in flight.
+func (f *Fleet) fits(now time.Time, r *Request, s *server) bool {
+	return f.memoryFit(now, r, s) == hasRoom
+}
+
+// memoryFit returns whether the server's memory holds the request beside those in flight. It
 // leaves room for the requests of other routers, by the server's last report, and for
 // those placed before this router took over. Until the server has reported its load, or
 // these have ended, this router has one request in flight there. MemoryRights that were
 // not taken over replace this rule by their share.
-func (f *Fleet) fits(now time.Time, r *Request, s *server) bool {
+func (f *Fleet) memoryFit(now time.Time, r *Request, s *server) memoryFit {
 	bound := f.cacheTokens(r.Pool)
 	if !f.hardMemory || r.Model == "" || bound == 0 {
-		return true
+		return hasRoom
 	}
 	m := &s.occupancy.memory
+	need, usable := float64(m.need(r)), usableMemory*float64(bound)
 	if rights := r.MemoryRights; rights != nil {
 		selected := &s.occupancy.selected
-		need := selected.need(r)
-		if float64(need) > rights.Largest*float64(bound) {
-			return !rights.TakenOver && rights.Share == rights.Largest && m.requests == 0 && !s.loadAt.IsZero() && s.earlierRequests(now) < 1
+		share := float64(selected.need(r))
+		if share > rights.Largest*float64(bound) {
+			return roomIf(!rights.TakenOver && rights.Share == rights.Largest && m.requests == 0 && !s.loadAt.IsZero() && s.earlierRequests(now) < 1)
 		}
-		if float64(selected.tokens+need) > rights.shareAt(s)*float64(bound) {
-			return false
+		if float64(selected.tokens)+share > rights.shareAt(s)*float64(bound) {
+			return noRoom
 		}
 		if !rights.TakenOver {
-			return float64(m.tokens+m.need(r))+m.others(s.otherRequests(now)) <= usableMemory*float64(bound)
+			return roomIf(float64(m.tokens)+need+m.others(s.otherRequests(now)) <= usable)
 		}
 	}
 	if m.requests == 0 {
-		return s.earlierRequests(now) < 1 || s.otherRequests(now) < 1
+		if s.earlierRequests(now) < 1 || s.otherRequests(now) < 1 {
+			return hasRoom
+		}
+		return roomUnknown
 	}
-	need := m.need(r)
-	otherRequests := s.earlierRequests(now)
-	if float64(m.tokens+need)+m.others(otherRequests) > usableMemory*float64(bound) {
-		return false
+	if float64(m.tokens)+need+m.others(s.earlierRequests(now)) > usable {
+		return noRoom
+	}
+	return m.fitByReports(now, need, s.earlierRequests(now))
+}
+
+// roomIf returns hasRoom or noRoom.
+func roomIf(room bool) memoryFit {
+	if room {
+		return hasRoom
 	}
+	return noRoom
+}
+
+// fitByReports returns whether a server that runs requests of this router, and the given number
+// of others as last reported, has room for the needed tokens.
+func (m *heldMemory) fitByReports(now time.Time, need, otherRequests float64) memoryFit {
 	switch {
+	case m.reportedAt.IsZero() && now.Sub(m.usedSince) >= maxRequestAge:
+		return hasRoom
 	case m.reportedAt.IsZero():
-		return now.Sub(m.usedSince) >= maxRequestAge
+		return roomUnknown
 	case otherRequests < fewRequests:
-		return true
+		return hasRoom
+	case now.Sub(m.reportedAt) < roomPeriod || now.Sub(m.roomAt) >= roomPeriod:
+		return roomUnknown
 	}
-	known := now.Sub(m.reportedAt) >= roomPeriod && now.Sub(m.roomAt) < roomPeriod
-	return known && float64(m.added+need) <= sharedRoom*m.room
+	return roomIf(float64(m.added)+need <= sharedRoom*m.room)
 }
 
 // earlierRequests returns the number of requests of other routers that the server's last
@@ -215,9 +251,15 @@
 	return float64(max(0, s.load.Running+s.load.Waiting-s.inFlightAtLoad))
 }
 
-// denyForMemory returns the denial of a request that does not fit into the memory of any
-// server now. Its caller should come back once as many tokens have come free.
-func (f *Fleet) denyForMemory(now time.Time, r *Request, c candidate, servers int) Denial {
+// denyForMemory returns the denial of a request for which no eligible server is known to have
+// memory now. If that is because a server has not reported its load for long enough, the caller
+// has no time to come back: it is the next report. Otherwise it should come back once as many
+// tokens as it needs have come free at the server of the candidate.
+func (f *Fleet) denyForMemory(now time.Time, r *Request, c candidate, eligible []*server) Denial {
+	unknown := func(s *server) bool { return f.memoryFit(now, r, s) == roomUnknown }
+	if i := slices.IndexFunc(eligible, unknown); i >= 0 {
+		return Denial{Reason: Overloaded, Server: eligible[i].Name, Short: ShortOfReports}
+	}
 	need := c.server.occupancy.memory.need(r)
 	wait := max(f.memoryWait(now, r, c.server), seconds(float64(need)/float64(f.cacheTokens(r.Pool))*f.tokenHold(c.server, need)))
 	d := f.demandOf(now, r)
@@ -225,6 +267,6 @@
 	d.record(r, serverTime, false)
 	return Denial{
 		Reason: Overloaded, Server: c.server.Name, Wait: wait, Short: ShortOfMemory,
-		Pause: d.takeTurn(now, wait, serverTime, servers),
+		Pause: d.takeTurn(now, wait, serverTime, len(eligible)),
 	}
 }
--- a/core/amrpool/pick.go
+++ b/core/amrpool/pick.go
@@ -283,7 +283,7 @@
 	}
 	none := selection{eligible: eligible, prompt: p}
 	if best.server == nil {
-		return none, f.denyForMemory(now, r, f.evaluate(now, r, eligible[0], p), len(eligible))
+		return none, f.denyForMemory(now, r, f.evaluate(now, r, eligible[0], p), eligible)
 	}
 	best, denial, overloaded := f.admit(now, r, best, eligible, p)
 	if overloaded {
