Let the fault soak check that declared weights are used in time, and restart all routers in turn

It now reports each request that begins on weights which were replaced more than 8 s before, as the users' rule counts that time (TestChecker has the allowed cases).

The long comment line of amrbytes is broken.

--- a/core/amrbytes/account.go
+++ b/core/amrbytes/account.go
@@ -98,8 +98,9 @@
 }
 
 // makeRoom breaks off holders until n more bytes for the holder are within the bound: first
-// those with the largest incomplete events, then the largest. It returns the functions that break them off, to be called without the lock,
-// and false if the holder itself is one of them. The caller must hold a.mu.
+// those with the largest incomplete events, then the largest. It returns the functions that
+// break them off, to be called without the lock, and false if the holder itself is one of
+// them. The caller must hold a.mu.
 func (a *Account) makeRoom(h *Holder, n int64) (breakOff []func(), ok bool) {
 	for a.held-a.releasing+n > a.bound {
 		largest, most := h, h.size(n)
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -181,6 +181,13 @@
 	s.serviceTime = d
 }
 
+// SetLoadTime sets the time that an engine takes to load weights.
+func (s *Server) SetLoadTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loadTime = d
+}
+
 // Observe sets a function that is called at the start of each run. The server
 // then stops recording runs for the method Runs. The function is called with
 // the server's lock held and must not call its methods.
--- a/standin/amrsoak/checker.go
+++ b/standin/amrsoak/checker.go
@@ -22,6 +22,7 @@
 	leaseHandover  time.Duration // Shortest time between the orders of two lease holders to one server.
 	lossSettle     time.Duration // Time after another fault, or extra load, in which requests may be lost by it.
 	startUp        time.Duration // Time from the start of a router in which its callers may still be refused.
+	weights        time.Duration // Time from the declaration of weights until no request begins on older ones.
 	recovery       time.Duration // Longest time after the last fault until the site serves again.
 }
 
@@ -35,6 +36,7 @@
 	leaseHandover:  3 * time.Second,
 	lossSettle:     5 * time.Second,
 	startUp:        500 * time.Millisecond,
+	weights:        8 * time.Second,
 	recovery:       12 * time.Second,
 }
 
@@ -42,7 +44,7 @@
 // with other work. It does not change leaseHandover, which is a lower limit: a
 // busy machine does not shorten the time between two lease holders.
 func (l timeLimits) scaled(factor float64) timeLimits {
-	for _, limit := range []*time.Duration{&l.settle, &l.recordsInForce, &l.drain, &l.answerDelay, &l.orderDelay, &l.lossSettle, &l.startUp, &l.recovery} {
+	for _, limit := range []*time.Duration{&l.settle, &l.recordsInForce, &l.drain, &l.answerDelay, &l.orderDelay, &l.lossSettle, &l.startUp, &l.weights, &l.recovery} {
 		*limit = time.Duration(float64(*limit) * factor)
 	}
 	return l
@@ -110,6 +112,7 @@
 	mu               sync.Mutex
 	requests         map[string]*trackedRequest // By request ID.
 	keyChanges       []keyChange                // Changes of revocableKey, oldest first.
+	weights          []weightsDeclaration       // Oldest first.
 	drainStarts      map[string]time.Time       // Times at which draining servers began to drain, by server name.
 	poisons          map[string]*poisonState    // By the value of Request.Poison or Request.CrashingPart.
 	leaving          map[link]time.Time         // When a router passed on an answer of a leaving server.
@@ -229,6 +232,7 @@
 	c.checkPause(link{tracked.router, run.Server}, now)
 	c.checkLimit(link{tracked.router, run.Server}, now)
 	c.checkQuota(tracked, now)
+	c.checkWeights(tracked, run, now)
 	tracked.engineRuns = append(tracked.engineRuns, engineRun{server: run.Server, software: c.software[run.Server], goesOn: run.LastEventID != ""})
 	if !c.disturbances.undisturbed(tracked.router, tracked.sent.Add(-c.timeLimits.settle), now) {
 		return
--- a/standin/amrsoak/checker_test.go
+++ b/standin/amrsoak/checker_test.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// runAfterWeights checks a run of a request that is sent after the delay from the declaration of
+// newer weights.
+func (s *checkerTest) runAfterWeights(delay time.Duration, route string) {
+	s.recordWeights(2)
+	s.clock.Advance(delay)
+	s.send(route, permanentKey)
+	s.run("a")
+}
+
 // answer checks an answer to the request.
 func (s *checkerTest) answer(status int, stamp, body string) {
 	s.checkAnswer(s.tracked, amrsite.Response{Status: status, Stamp: stamp, Body: body}, nil)
@@ -122,6 +131,17 @@
 			s.clock.Advance(time.Millisecond)
 			s.run("a")
 		}},
+		{"begins on weights that were replaced long ago", amrsite.StreamRoute, permanentKey, "declared weights in time", func(s *checkerTest) { s.runAfterWeights(9*time.Second, amrsite.StreamRoute) }},
+		{"begins on weights that were replaced just now", amrsite.StreamRoute, permanentKey, "", func(s *checkerTest) { s.runAfterWeights(7*time.Second, amrsite.StreamRoute) }},
+		{"runs at a plain service, which has no weights", amrsite.IdempotentRoute, permanentKey, "", func(s *checkerTest) { s.runAfterWeights(9*time.Second, amrsite.IdempotentRoute) }},
+		{"begins on old weights after a fault of a link", amrsite.StreamRoute, permanentKey, "", func(s *checkerTest) {
+			s.disturbances.begin(linkFaults, s.clock.Now())(s.clock.Now().Add(2 * time.Second))
+			s.runAfterWeights(9*time.Second, amrsite.StreamRoute)
+		}},
+		{"begins on old weights, sent by a router that was stopping", amrsite.StreamRoute, permanentKey, "", func(s *checkerTest) {
+			s.disturbances.begin(gonePrefix+"router-1", s.clock.Now())(s.clock.Now().Add(8 * time.Second))
+			s.runAfterWeights(9*time.Second, amrsite.StreamRoute)
+		}},
 		{"run of a request that was not sent", amrsite.IdempotentRoute, permanentKey, "only sent requests", func(s *checkerTest) { s.checkRun(amrsite.Run{ID: "other"}) }},
 		{"deadline later than that of the caller", amrsite.IdempotentRoute, permanentKey, "deadlines", func(s *checkerTest) {
 			s.checkRun(amrsite.Run{ID: "r", Header: http.Header{amrsite.TeamHeader: {teamOfKey(s.tracked.request.Key)}, amrsite.DeadlineHeader: {"9000"}}})
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -136,6 +136,9 @@
 	if name := f.Kind.disturbs(); name != "" {
 		defer func(end func(time.Time)) { end(s.clock.Now()) }(s.checker.disturbances.begin(name, s.clock.Now()))
 	}
+	if f.Kind.disturbsLinks() {
+		defer func(end func(time.Time)) { end(s.clock.Now()) }(s.checker.disturbances.begin(linkFaults, s.clock.Now()))
+	}
 	r := s.routers[f.Router]
 	switch f.Kind {
 	case killRouter:
@@ -144,6 +147,8 @@
 		return s.killAll(f.Length)
 	case stopRouter:
 		return s.restart(r, syscall.SIGTERM, f.Length)
+	case rollRouters:
+		return s.rollingRestart(f.Length)
 	case pauseRouter:
 		endGone := s.checker.disturbances.begin(gonePrefix+r.name, s.clock.Now())
 		s.disturb(r.name, f.Length, func() { r.Signal(syscall.SIGSTOP) }, func() { r.Signal(syscall.SIGCONT) })
@@ -373,4 +378,5 @@
 		b.PublishVersion(s.weightsVersion)
 	}
 	s.store.PublishVersion(modelName, s.weightsVersion)
+	s.checker.recordWeights(s.weightsVersion)
 }
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -1,6 +1,7 @@
 package amrsoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -42,8 +43,8 @@
 metrics-address: %s
 seeds: [%s]
 store-address: %s
-stop-delay: 300ms
-stop-grace: 4s
+stop-delay: %v
+stop-grace: %v
 retry-ratio: 0.2
 retry-slack: 50
 retry-window: 10s
@@ -83,7 +84,8 @@
 	routers []*router
 	servers []*server
 	proxies []*TCPProxy
-	routes  []string           // Routes of the load.
+	routes  []string // Routes of the load.
+	timing  Timing
 	group   errgroup.Group     // Runs the stand-ins.
 	stop    context.CancelFunc // Stops the stand-ins.
 
@@ -101,13 +103,28 @@
 	Routers, Engines, Services int
 }
 
+// Timing contains times of a site that differ between deployments. Zero values select defaults.
+type Timing struct {
+	StopDelay   time.Duration // Time for which a router that is told to stop still takes requests.
+	StopGrace   time.Duration // Longest time from the signal to a router until it has stopped.
+	WeightsLoad time.Duration // Time that an engine takes to load weights.
+}
+
+// withDefaults returns the timing with the defaults in place of zero values.
+func (t Timing) withDefaults() Timing {
+	t.StopDelay = cmp.Or(t.StopDelay, 300*time.Millisecond)
+	t.StopGrace = cmp.Or(t.StopGrace, 4*time.Second)
+	t.WeightsLoad = cmp.Or(t.WeightsLoad, 30*time.Millisecond)
+	return t
+}
+
 // startSite starts the stand-ins and the routers, and waits until the routers are
 // ready. The program is the path of the router's program, and dir is the directory
 // for settings and logs. The site runs until close is called, even if ctx is
 // canceled earlier.
-func startSite(ctx context.Context, clock clockwork.Clock, checker *Checker, program, dir string, size Size) (*site, error) {
+func startSite(ctx context.Context, clock clockwork.Clock, checker *Checker, program, dir string, size Size, timing Timing) (*site, error) {
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	s := &site{clock: clock, checker: checker, store: amrsite.NewStore(clock), stop: stop, routes: routes, weightsVersion: 1}
+	s := &site{clock: clock, checker: checker, store: amrsite.NewStore(clock), stop: stop, routes: routes, timing: timing.withDefaults(), weightsVersion: 1}
 	err := s.setUp(ctx, program, dir, size)
 	if err != nil {
 		return nil, errors.Join(err, s.close())
@@ -178,6 +195,7 @@
 	backend := amrsite.NewServer(s.clock, name, modelName)
 	backend.SetStream(streamEvents, streamEventInterval)
 	backend.SetServiceTime(serviceDuration)
+	backend.SetLoadTime(s.timing.WeightsLoad)
 	backend.Observe(s.checker.checkRun)
 	address, err := s.serveStandIn(ctx, backend.Handler())
 	if err != nil {
@@ -235,7 +253,7 @@
 		seeds = append(seeds, other.peers.Address())
 	}
 	s.routers = append(s.routers, r)
-	settings := fmt.Sprintf(routerSettings, name, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], strings.Join(seeds, ", "), r.store.Address(), routerMemory>>20)
+	settings := fmt.Sprintf(routerSettings, name, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], strings.Join(seeds, ", "), r.store.Address(), s.timing.StopDelay, s.timing.StopGrace, routerMemory>>20)
 	return os.WriteFile(filepath.Clean(r.settingsPath()), []byte(settings), 0o600)
 }
 
