Test that weights named while all routers stop are used in time, with real processes

The kind rolling-restart names new weights when the last router got the signal, and lasts until requests have been checked against them.

--- a/standin/amrsoak/faultkind.go
+++ b/standin/amrsoak/faultkind.go
@@ -45,7 +45,7 @@
 	engineRenewed       faultKind = "engine-renewed"       // An engine crashes and starts again under its name with another version of its software.
 	engineReplaced      faultKind = "engine-replaced"      // The same, but it is drained before.
 	routerCut           faultKind = "router-cut"           // A router is cut off from the store and from all other routers.
-	rollRouters         faultKind = "rolling-restart"      // All routers are stopped by SIGTERM and started again, one after the other.
+	rollRouters         faultKind = "rolling-restart"      // All routers are stopped by SIGTERM and started again, one after the other; new weights are named when the last one got the signal.
 )
 
 // faultKinds lists the kinds of faults that are selected at random. New kinds
@@ -82,7 +82,7 @@
 // than that, and otherFaults for the others.
 func (k faultKind) disturbs() string {
 	switch k {
-	case killRouter, killAllRouters, killAllMixed, stopRouter, rollRouters, pauseRouter, hangUp, quotaExceeded, unevenEngines:
+	case killRouter, killAllRouters, killAllMixed, stopRouter, pauseRouter, hangUp, quotaExceeded, unevenEngines:
 		return ""
 	case slowCallers, fullMemory:
 		return extraLoad
--- a/standin/amrsoak/soak_test.go
+++ b/standin/amrsoak/soak_test.go
@@ -82,6 +82,29 @@
 	is.True(result.AllTakenUp.all > 0)
 }
 
+// TestSoakWeights guards against requests that begin on old weights too late after new ones were
+// named while all routers were stopping, one after the other.
+func TestSoakWeights(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dir := t.TempDir()
+	program, err := Build(t.Context(), dir, false)
+	is.NoErr(err)
+	soak := Soak{
+		Program: program, Dir: dir, Seed: 93206, Length: 24 * time.Second, FaultInterval: 14 * time.Second, Size: Size{Routers: 3, Engines: 6, Services: 1},
+		Timing:     Timing{StopDelay: 7 * time.Second, StopGrace: 9 * time.Second, WeightsLoad: 1200 * time.Millisecond},
+		FaultNames: []string{string(rollRouters)},
+	}
+	result, err := soak.Run(t.Context())
+	is.NoErr(err)
+	is.True(len(result.Faults) > 0)
+	for _, v := range result.Violations {
+		if v.Promise == weightsPromise {
+			t.Error(v)
+		}
+	}
+}
+
 func TestRegressions(t *testing.T) {
 	is := is.New(t)
 	known, err := Regressions()
--- a/standin/amrsoak/weights.go
+++ b/standin/amrsoak/weights.go
@@ -13,6 +13,9 @@
 // the declaration of weights to their use does not count.
 const linkFaults = "link faults"
 
+// weightsPromise is the name of the promise that checkWeights checks.
+const weightsPromise = "declared weights in time"
+
 // rollingRestartGap is the time between the signals to two routers in a rolling restart.
 const rollingRestartGap = time.Second
 
@@ -59,16 +62,19 @@
 	if !c.disturbances.undisturbedAlone(allRouters, begin.Add(-c.timeLimits.settle), now) || !c.disturbances.undisturbedAlone(linkFaults, begin, now) {
 		return
 	}
-	c.report("declared weights in time", "%s, sent to %s, begins at %s on version %d of the weights, and version %d was declared more than %v ago", tracked.request.ID, tracked.router, run.Server, run.Version, due, c.timeLimits.weights)
+	c.report(weightsPromise, "%s, sent to %s, begins at %s on version %d of the weights, and version %d was declared more than %v ago", tracked.request.ID, tracked.router, run.Server, run.Version, due, c.timeLimits.weights)
 }
 
 // rollingRestart stops one router after the other and starts each again after the down time.
-// With a long delay of stops, all of them are stopping at some time.
+// With a long delay of stops, all of them are stopping when it publishes new weights.
 func (s *site) rollingRestart(down time.Duration) error {
 	var group errgroup.Group
 	for _, r := range s.routers {
 		group.Go(func() error { return s.restart(r, syscall.SIGTERM, down) })
 		s.clock.Sleep(rollingRestartGap)
 	}
-	return group.Wait()
+	s.publishWeights()
+	err := group.Wait()
+	s.clock.Sleep(s.checker.timeLimits.weights) // Requests are still checked against the new weights.
+	return err
 }
