Let answers arrive in pieces in the fault soak, and break off within an event

The users' runs had partial writes and reads, and resets in the middle of an event; the proxies of the soak forwarded all bytes of a read at once.

--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -147,6 +147,8 @@
 		return s.killAll(f.Length)
 	case stopRouter:
 		return s.restart(r, syscall.SIGTERM, f.Length)
+	case splitAnswers:
+		s.splitAnswers(r, s.servers[f.Server], f.Length)
 	case rollRouters:
 		return s.rollingRestart(f.Length)
 	case pauseRouter:
--- a/standin/amrsoak/faultkind.go
+++ b/standin/amrsoak/faultkind.go
@@ -45,6 +45,7 @@
 	engineRenewed       faultKind = "engine-renewed"       // An engine crashes and starts again under its name with another version of its software.
 	engineReplaced      faultKind = "engine-replaced"      // The same, but it is drained before.
 	routerCut           faultKind = "router-cut"           // A router is cut off from the store and from all other routers.
+	splitAnswers        faultKind = "split-answers"        // Answers of a server, and of a router, arrive in small pieces and then break off, most of them within an event.
 	rollRouters         faultKind = "rolling-restart"      // All routers are stopped by SIGTERM and started again, one after the other; new weights are named when the last one got the signal.
 )
 
@@ -57,7 +58,7 @@
 	poisonRequest, peersLink, storeRestored, serverTellsLeaving, serverAsksPause, serverEndless, serverNoLength,
 	crashingPart, serverLimit, killAllMixed, quotaExceeded,
 	unevenEngines, slowCallers, fullMemory,
-	engineRenewed, engineReplaced, routerCut, rollRouters,
+	engineRenewed, engineReplaced, routerCut, rollRouters, splitAnswers,
 }
 
 // kindsNamed returns the kinds with the names, in the order of faultKinds. It returns
--- a/standin/amrsoak/tcpproxy.go
+++ b/standin/amrsoak/tcpproxy.go
@@ -26,6 +26,7 @@
 	HoldTo   bool          // Whether bytes to the target are held back.
 	HoldFrom bool          // Whether bytes from the target are held back.
 	Delay    time.Duration // Delay before the bytes of each read are forwarded.
+	Piece    int           // Bytes from the target that are forwarded at a time, one piece every pieceInterval; 0 for all.
 }
 
 // TCPProxy is a proxy on a loopback address that forwards connections to a target
@@ -121,20 +122,28 @@
 	}
 	defer p.untrack(inbound, outbound)
 	var group errgroup.Group
-	group.Go(func() error { p.forward(outbound, inbound, func(f ProxyFaults) bool { return f.HoldTo }); return nil })
-	group.Go(func() error { p.forward(inbound, outbound, func(f ProxyFaults) bool { return f.HoldFrom }); return nil })
+	write := func(data []byte) error { _, err := outbound.Write(data); return err }
+	writeBack := func(data []byte) error { return p.writePieces(inbound, data) }
+	group.Go(func() error {
+		p.forward(outbound, inbound, write, func(f ProxyFaults) bool { return f.HoldTo })
+		return nil
+	})
+	group.Go(func() error {
+		p.forward(inbound, outbound, writeBack, func(f ProxyFaults) bool { return f.HoldFrom })
+		return nil
+	})
 	_ = group.Wait() // The functions return no errors.
 }
 
 // forward forwards bytes in one direction until an end closes or resets the
-// connection. It holds them back while held returns true.
-func (p *TCPProxy) forward(to, from net.Conn, held func(ProxyFaults) bool) {
+// connection. It holds them back while held returns true, and writes them by the function.
+func (p *TCPProxy) forward(to, from net.Conn, write func([]byte) error, held func(ProxyFaults) bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		p.waitUntilReleased(held)
 		if n > 0 {
-			if _, failed := to.Write(buffer[:n]); failed != nil {
+			if failed := write(buffer[:n]); failed != nil {
 				reset(from)
 				return
 			}
@@ -150,6 +159,22 @@
 	}
 }
 
+// writePieces writes the data to the connection, in pieces if the faults say so.
+func (p *TCPProxy) writePieces(to net.Conn, data []byte) error {
+	for len(data) > 0 {
+		piece := data
+		if faults, _ := p.currentFaults(); faults.Piece > 0 {
+			p.clock.Sleep(pieceInterval)
+			piece = data[:min(len(data), faults.Piece)]
+		}
+		if _, err := to.Write(piece); err != nil {
+			return err
+		}
+		data = data[len(piece):]
+	}
+	return nil
+}
+
 // waitUntilReleased waits until the faults do not hold bytes back any more,
 // and then for the delay.
 func (p *TCPProxy) waitUntilReleased(held func(ProxyFaults) bool) {
--- a/standin/amrsoak/tcpproxy_test.go
+++ b/standin/amrsoak/tcpproxy_test.go
@@ -75,3 +75,20 @@
 	is.NoErr(echo.Close())
 	is.NoErr(group.Wait())
 }
+
+// TestWritePieces checks that the proxy writes data in pieces of at most the given size, all of
+// it and in order.
+func TestWritePieces(t *testing.T) {
+	is := is.New(t)
+	reader, writer := net.Pipe()
+	proxy := &TCPProxy{clock: clockwork.NewRealClock(), faults: ProxyFaults{Piece: 2}}
+	var group errgroup.Group
+	group.Go(func() error { return proxy.writePieces(writer, []byte("abcde")) })
+	for _, piece := range []string{"ab", "cd", "e"} {
+		buffer := make([]byte, 5)
+		n, err := reader.Read(buffer)
+		is.NoErr(err)
+		is.Equal(string(buffer[:n]), piece)
+	}
+	is.NoErr(group.Wait())
+}
--- a/standin/amrsoak/weights.go
+++ b/standin/amrsoak/weights.go
@@ -28,7 +28,7 @@
 // disturbsLinks reports whether the fault disturbs a link.
 func (k faultKind) disturbsLinks() bool {
 	switch k {
-	case callersLink, storeLink, serverLink, peersLink, routerCut:
+	case callersLink, storeLink, serverLink, peersLink, routerCut, splitAnswers:
 		return true
 	}
 	return false
