--- a/standin/amrsoak/command.go
+++ b/standin/amrsoak/command.go
@@ -30,7 +30,7 @@
 	faults          []string
 	timeLimitFactor float64
 	resumableOnly   bool
-	timing          Timing
+	deployment      Deployment
 	race            bool
 	regressions     bool
 	verbose         bool
@@ -63,9 +63,8 @@
 	c.Flags().StringVar(&o.dir, "dir", "", "directory for settings and logs; a temporary one by default")
 	c.Flags().Float64Var(&o.timeLimitFactor, "stretch", 1, "factor of the time limits, for a machine that is busy with other work")
 	c.Flags().StringSliceVar(&o.faults, "faults", nil, "kinds of faults to draw from, by name; all by default")
-	c.Flags().DurationVar(&o.timing.StopDelay, "stop-delay", 0, "time for which a router that is told to stop still takes requests; 0 for the default")
-	c.Flags().DurationVar(&o.timing.StopGrace, "stop-grace", 0, "longest time until a router that is told to stop has stopped; 0 for the default")
-	c.Flags().DurationVar(&o.timing.WeightsLoad, "weights-load", 0, "time that an engine takes to load weights; 0 for the default")
+	c.Flags().StringToStringVar(&o.deployment.Settings, "setting", nil, "settings of the routers that replace those of the soak, such as stop-delay=7s; an empty value leaves one out")
+	c.Flags().DurationVar(&o.deployment.WeightsLoad, "weights-load", 0, "time that an engine takes to load weights; 0 for the default")
 	c.Flags().BoolVar(&o.resumableOnly, "resumable-streams", false, "send only requests for streams that can be taken up")
 	c.Flags().BoolVar(&o.regressions, "regressions", false, "run the seeds of regressions.yaml instead of --seed and --seeds")
 	c.Flags().BoolVar(&o.race, "race", false, "build the program with the race detector")
@@ -146,7 +145,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	result, err := Soak{Program: program, Dir: dir, Seed: seed, Length: o.duration, Size: o.size, FaultInterval: o.interval, FaultKinds: r.FaultKinds, FaultNames: o.faults, Timing: o.timing, ResumableOnly: o.resumableOnly, TimeLimitFactor: o.timeLimitFactor}.Run(ctx)
+	result, err := Soak{Program: program, Dir: dir, Seed: seed, Length: o.duration, Size: o.size, FaultInterval: o.interval, FaultKinds: r.FaultKinds, FaultNames: o.faults, Deployment: o.deployment, ResumableOnly: o.resumableOnly, TimeLimitFactor: o.timeLimitFactor}.Run(ctx)
 	if err != nil {
 		return fmt.Errorf("seed %d: %w", seed, err)
 	}
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.yaml.in/yaml/v3"
 	"golang.org/x/sync/errgroup"
 
 	"amaranthreach.example/core/amrserve"
@@ -43,8 +44,8 @@
 metrics-address: %s
 seeds: [%s]
 store-address: %s
-stop-delay: %v
-stop-grace: %v
+stop-delay: 300ms
+stop-grace: 4s
 retry-ratio: 0.2
 retry-slack: 50
 retry-window: 10s
@@ -84,11 +85,12 @@
 	routers []*router
 	servers []*server
 	proxies []*TCPProxy
-	routes  []string // Routes of the load.
-	timing  Timing
+	routes  []string           // Routes of the load.
 	group   errgroup.Group     // Runs the stand-ins.
 	stop    context.CancelFunc // Stops the stand-ins.
 
+	deployment Deployment
+
 	keysMu         sync.Mutex       // Held while a key is revoked.
 	mu             sync.Mutex       // Held while rows of the store are written, and protects the fields below.
 	weightsVersion int              // Version of the weights that was published last.
@@ -103,28 +105,42 @@
 	Routers, Engines, Services int
 }
 
-// Timing contains times of a site that differ between deployments. Zero values select defaults.
-type Timing struct {
-	StopDelay   time.Duration // Time for which a router that is told to stop still takes requests.
-	StopGrace   time.Duration // Longest time from the signal to a router until it has stopped.
-	WeightsLoad time.Duration // Time that an engine takes to load weights.
+// Deployment contains what differs between deployments.
+type Deployment struct {
+	Settings    map[string]string // Settings of the routers by name, which replace those of routerSettings; an empty value leaves one out.
+	WeightsLoad time.Duration     // Time that an engine takes to load weights; 0 for defaultWeightsLoad.
 }
 
-// withDefaults returns the timing with the defaults in place of zero values.
-func (t Timing) withDefaults() Timing {
-	t.StopDelay = cmp.Or(t.StopDelay, 300*time.Millisecond)
-	t.StopGrace = cmp.Or(t.StopGrace, 4*time.Second)
-	t.WeightsLoad = cmp.Or(t.WeightsLoad, 30*time.Millisecond)
-	return t
+// defaultWeightsLoad is the time that an engine takes to load weights by default.
+const defaultWeightsLoad = 30 * time.Millisecond
+
+// settingsOf returns the contents of a settings file in which the deployment's settings replace
+// those of the base, in the same format.
+func (d Deployment) settingsOf(base string) ([]byte, error) {
+	settings := make(map[string]any)
+	if err := yaml.Unmarshal([]byte(base), &settings); err != nil {
+		return nil, err
+	}
+	for name, text := range d.Settings {
+		var value any
+		if err := yaml.Unmarshal([]byte(text), &value); err != nil {
+			return nil, fmt.Errorf("setting %s: %w", name, err)
+		}
+		settings[name] = value
+		if value == nil {
+			delete(settings, name)
+		}
+	}
+	return yaml.Marshal(settings)
 }
 
 // startSite starts the stand-ins and the routers, and waits until the routers are
 // ready. The program is the path of the router's program, and dir is the directory
 // for settings and logs. The site runs until close is called, even if ctx is
 // canceled earlier.
-func startSite(ctx context.Context, clock clockwork.Clock, checker *Checker, program, dir string, size Size, timing Timing) (*site, error) {
+func startSite(ctx context.Context, clock clockwork.Clock, checker *Checker, program, dir string, size Size, deployment Deployment) (*site, error) {
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	s := &site{clock: clock, checker: checker, store: amrsite.NewStore(clock), stop: stop, routes: routes, timing: timing.withDefaults(), weightsVersion: 1}
+	s := &site{clock: clock, checker: checker, store: amrsite.NewStore(clock), stop: stop, routes: routes, deployment: deployment, weightsVersion: 1}
 	err := s.setUp(ctx, program, dir, size)
 	if err != nil {
 		return nil, errors.Join(err, s.close())
@@ -195,7 +211,7 @@
 	backend := amrsite.NewServer(s.clock, name, modelName)
 	backend.SetStream(streamEvents, streamEventInterval)
 	backend.SetServiceTime(serviceDuration)
-	backend.SetLoadTime(s.timing.WeightsLoad)
+	backend.SetLoadTime(cmp.Or(s.deployment.WeightsLoad, defaultWeightsLoad))
 	backend.Observe(s.checker.checkRun)
 	address, err := s.serveStandIn(ctx, backend.Handler())
 	if err != nil {
@@ -253,8 +269,12 @@
 		seeds = append(seeds, other.peers.Address())
 	}
 	s.routers = append(s.routers, r)
-	settings := fmt.Sprintf(routerSettings, name, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], strings.Join(seeds, ", "), r.store.Address(), s.timing.StopDelay, s.timing.StopGrace, routerMemory>>20)
-	return os.WriteFile(filepath.Clean(r.settingsPath()), []byte(settings), 0o600)
+	settings := fmt.Sprintf(routerSettings, name, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], strings.Join(seeds, ", "), r.store.Address(), routerMemory>>20)
+	data, err := s.deployment.settingsOf(settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Clean(r.settingsPath()), data, 0o600)
 }
 
 // reportExit reports the exit of a process that was not stopped as a violation.
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -52,7 +52,7 @@
 	FaultInterval   time.Duration // Mean time between the starts of two faults; 0 for defaultFaultInterval.
 	FaultKinds      int           // Number of kinds of faults, from the start of the list of all kinds; 0 for all.
 	FaultNames      []string      // Names of the kinds of faults; empty for all kinds that FaultKinds allows.
-	Timing          Timing
+	Deployment      Deployment
 	ResumableOnly   bool    // All requests are for streams that can be taken up.
 	TimeLimitFactor float64 // Factor of the time limits, for a busy machine; 0 is equivalent to 1.
 }
@@ -90,7 +90,7 @@
 		limits = limits.scaled(s.TimeLimitFactor)
 	}
 	checker := newChecker(clock, limits, &disturbances{}, streamEvents)
-	site, err := startSite(ctx, clock, checker, s.Program, s.Dir, s.Size, s.Timing)
+	site, err := startSite(ctx, clock, checker, s.Program, s.Dir, s.Size, s.Deployment)
 	if err != nil {
 		return Result{}, err
 	}
--- a/standin/amrsoak/soak_test.go
+++ b/standin/amrsoak/soak_test.go
@@ -92,7 +92,7 @@
 	is.NoErr(err)
 	soak := Soak{
 		Program: program, Dir: dir, Seed: 93206, Length: 24 * time.Second, FaultInterval: 14 * time.Second, Size: Size{Routers: 3, Engines: 6, Services: 1},
-		Timing:     Timing{StopDelay: 7 * time.Second, StopGrace: 9 * time.Second, WeightsLoad: 1200 * time.Millisecond},
+		Deployment: Deployment{Settings: map[string]string{"stop-delay": "7s", "stop-grace": "9s"}, WeightsLoad: 1200 * time.Millisecond},
 		FaultNames: []string{string(rollRouters)},
 	}
 	result, err := soak.Run(t.Context())
@@ -105,6 +105,16 @@
 	}
 }
 
+// TestDeploymentSettings checks that settings of a deployment replace, add and leave out those of
+// the base.
+func TestDeploymentSettings(t *testing.T) {
+	is := is.New(t)
+	d := Deployment{Settings: map[string]string{"stop-delay": "7s", "capacity": "0.3", "server-memory": ""}}
+	settings, err := d.settingsOf("host: a\nseeds: [b, c]\nstop-delay: 300ms\nserver-memory: hard\n")
+	is.NoErr(err)
+	is.Equal(string(settings), "capacity: 0.3\nhost: a\nseeds:\n    - b\n    - c\nstop-delay: 7s\n")
+}
+
 func TestRegressions(t *testing.T) {
 	is := is.New(t)
 	known, err := Regressions()
