--- a/core/amrpool/memory.go
+++ b/core/amrpool/memory.go
@@ -195,11 +195,11 @@
 	need, usable := float64(m.need(r)), usableMemory*float64(bound)
 	if rights := r.MemoryRights; rights != nil {
 		selected := &s.occupancy.selected
-		share := float64(selected.need(r))
-		if share > rights.Largest*float64(bound) {
+		added := float64(selected.need(r))
+		if added > rights.Largest*float64(bound) {
 			return roomIf(!rights.TakenOver && rights.Share == rights.Largest && m.requests == 0 && !s.loadAt.IsZero() && s.earlierRequests(now) < 1)
 		}
-		if float64(selected.tokens)+share > rights.shareAt(s)*float64(bound) {
+		if float64(selected.tokens)+added > rights.shareAt(s)*float64(bound) {
 			return noRoom
 		}
 		if !rights.TakenOver {
@@ -252,9 +252,9 @@
 }
 
 // denyForMemory returns the denial of a request for which no eligible server is known to have
-// memory now. If that is because a server has not reported its load for long enough, the caller
-// has no time to come back: it is the next report. Otherwise it should come back once as many
-// tokens as it needs have come free at the server of the candidate.
+// memory now. If only the reports of a server are missing, the denial names no time to come
+// back, since the next report is expected soon. Otherwise the caller should come back once as
+// many tokens as it needs have come free at the server of the candidate.
 func (f *Fleet) denyForMemory(now time.Time, r *Request, c candidate, eligible []*server) Denial {
 	unknown := func(s *server) bool { return f.memoryFit(now, r, s) == roomUnknown }
 	if i := slices.IndexFunc(eligible, unknown); i >= 0 {
--- a/standin/amrsoak/weights.go
+++ b/standin/amrsoak/weights.go
@@ -42,8 +42,8 @@
 }
 
 // checkWeights checks that a request does not begin on older weights than those that were
-// declared longer ago than the time limit. The limit counts while neither the store nor a link
-// was disturbed, and for routers that ran all the time. The caller must hold c.mu.
+// declared longer ago than the time limit. It is checked if neither the store nor a link was
+// disturbed in that time, and the router ran without a disturbance for the settle time. The caller must hold c.mu.
 func (c *Checker) checkWeights(tracked *trackedRequest, run amrsite.Run, now time.Time) {
 	due := 0
 	begin := now.Add(-c.timeLimits.weights)
@@ -55,8 +55,8 @@
 	if !tracked.request.Stream() || run.Version >= due { // Only engines, which run the streams, have weights.
 		return
 	}
-	inTouch := tracked.sent.Add(-c.timeLimits.settle)
-	if !c.disturbances.undisturbedAlone(gonePrefix+tracked.router, inTouch, now) || !c.disturbances.undisturbed(tracked.router, inTouch, now) {
+	since := tracked.sent.Add(-c.timeLimits.settle)
+	if !c.disturbances.undisturbedAlone(gonePrefix+tracked.router, since, now) || !c.disturbances.undisturbed(tracked.router, since, now) {
 		return
 	}
 	if !c.disturbances.undisturbedAlone(allRouters, begin.Add(-c.timeLimits.settle), now) || !c.disturbances.undisturbedAlone(linkFaults, begin, now) {
