Let a stream go on nowhere after its origin was withdrawn, also while its caller waits for a server

A request that had found the origin before, and then waited for a server, for up to 0.4 s since it waits for reports, went on by what it had found. And the beginning of such a part, or a message about the first one that arrives late, replaced the withdrawal.

Fix: before a stream goes on, its origin is looked up again if that was over 20 ms ago. A withdrawn stream stays withdrawn.

TestWithdrawnWhileWaiting and TestWithdrawalHolds failed before ("id: 2" came; known in place of unknown).

--- a/core/amrforward/exchange.go
+++ b/core/amrforward/exchange.go
@@ -91,6 +91,7 @@
 	began         *amrpool.Choice    // Server that began the stream in this answer; nil while none has.
 	beganAt       time.Time          // Time at which it began.
 	withdrawn     bool               // It is not certain which software began it.
+	originAt      time.Time          // Time at which the origin of the stream that is taken up was found.
 	firstByte     time.Time
 	status        int
 	writeErr      error
--- a/core/amrforward/identity.go
+++ b/core/amrforward/identity.go
@@ -40,9 +40,12 @@
 // mayGoOnAt reports whether the stream of the request, if one has begun, may go on at the
 // chosen server.
 func (x *exchange) mayGoOnAt(ctx context.Context, choice *amrpool.Choice) bool {
-	if x.software == 0 || x.f.identities.Serves(ctx, choice) {
+	if x.software == 0 {
 		return true
 	}
+	if x.f.identities.Serves(ctx, choice) {
+		return x.originHolds(ctx)
+	}
 	x.f.log.Warn("cannot confirm that a server is the listed incarnation; a stream does not go on there", "id", x.request.ID, "server", choice.Name, "software", choice.Software)
 	return false
 }
--- a/core/amrforward/identity_test.go
+++ b/core/amrforward/identity_test.go
@@ -112,6 +112,47 @@
 	}
 }
 
+// lateWithdrawal knows the origin of a stream until it is withdrawn.
+type lateWithdrawal struct {
+	fixedOrigin
+	withdrawn *bool
+}
+
+func (o lateWithdrawal) Find(context.Context, amrorigin.Stream, string) (amrorigin.Origin, amrorigin.Certainty) {
+	if *o.withdrawn {
+		return amrorigin.Origin{}, amrorigin.Unknown
+	}
+	return o.origin, amrorigin.Known
+}
+
+// slowIdentities takes a while to confirm a server, in which the stream is withdrawn.
+type slowIdentities struct {
+	fakeIdentities
+	takes    time.Duration
+	withdraw *bool
+}
+
+func (i *slowIdentities) Serves(context.Context, *amrpool.Choice) bool {
+	clock.Sleep(i.takes)
+	*i.withdraw = true
+	return true
+}
+
+// TestWithdrawnWhileWaiting guards against a stream that goes on although its origin was
+// withdrawn while the request that takes it up waited for a server.
+func TestWithdrawnWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	withdrawn := false
+	b := &brokenStreamBackend{servers: []string{"first"}}
+	r := streamRequest()
+	r.LastEventID, r.Resumes = "1", "q"
+	origin := fixedOrigin{amrorigin.Origin{Pool: amrorigin.PoolIDOf("app"), Software: amrpool.SoftwareIDOf("")}}
+	got := serveBroken(t, b, r, amrforward.WithIdentities(&slowIdentities{takes: 50 * time.Millisecond, withdraw: &withdrawn}),
+		amrforward.WithOrigins(lateWithdrawal{origin, &withdrawn}))
+	is.True(!strings.Contains(got, "id: 2"))
+	is.Equal(len(b.servers), 1)
+}
+
 // leavingCaller is a caller that leaves after the first event.
 type leavingCaller struct {
 	*httptest.ResponseRecorder
--- a/core/amrforward/origin.go
+++ b/core/amrforward/origin.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"time"
 
 	"amaranthreach.example/core/amrorigin"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrroute"
 )
 
+// maxOriginAge is the age from which the origin of a stream is looked up again before the stream
+// goes on.
+const maxOriginAge = 20 * time.Millisecond
+
 // resumable reports whether the request is for a stream that may go on at another server.
 func (x *exchange) resumable() bool {
 	return x.route.Kind == amrroute.Stream && x.route.Resumable
@@ -28,6 +33,7 @@
 		return nil
 	}
 	origin, certainty := x.f.origins.Find(ctx, x.stream(), x.pool)
+	x.originAt = x.f.clock.Now()
 	x.f.log.Info("stream is taken up", "id", x.request.ID, "resumes", x.request.Resumes, "after-event", x.request.LastEventID, "origin", certainty.String(), "software-id", uint32(origin.Software))
 	if certainty == amrorigin.Unknown {
 		return x.refusal(amrreason.UnknownStream, noServerRetry, "nobody knows the origin of the stream")
@@ -38,6 +44,21 @@
 	return nil
 }
 
+// originHolds reports whether the origin of a stream that the request takes up is still known.
+// Another router may have withdrawn it while the request waited for a server.
+func (x *exchange) originHolds(ctx context.Context) bool {
+	if x.originAt.IsZero() || x.f.clock.Since(x.originAt) < maxOriginAge {
+		return true
+	}
+	origin, certainty := x.f.origins.Find(ctx, x.stream(), x.pool)
+	x.originAt = x.f.clock.Now()
+	if certainty != amrorigin.Unknown && origin.Software == x.software {
+		return true
+	}
+	x.f.log.Warn("the origin of a stream has changed; it does not go on", "id", x.request.ID, "resumes", x.request.Resumes, "origin", certainty.String())
+	return false
+}
+
 // targetPool returns the name of the pool if requests of the route may go to it. If not,
 // the route has been changed since the stream began.
 func (x *exchange) targetPool(id amrorigin.PoolID) (string, bool) {
--- a/core/amrorigin/directory.go
+++ b/core/amrorigin/directory.go
@@ -171,7 +171,8 @@
 }
 
 // Begin records that a server of the pool with the software version has begun the stream,
-// or goes on with it. It must be called before the caller gets the first event. Unless all
+// or goes on with it. It must be called before the caller gets the first event. It has no
+// effect on a stream that was withdrawn. Unless all
 // streams of the pool begin at the same version, other routers are told, and the row of
 // the stream is written later.
 func (d *Directory) Begin(s Stream, pool string, software amrpool.SoftwareID) {
@@ -181,6 +182,10 @@
 	d.mu.Lock()
 	l := d.ledgerOf(origin.Pool)
 	lasting, expedited := l.isLasting(now), l.expedite(now, software)
+	if d.isWithdrawn(s) {
+		d.mu.Unlock()
+		return
+	}
 	d.streams.Add(s, record{origin: origin, own: lasting, at: now})
 	d.mu.Unlock()
 	if expedited {
@@ -204,6 +209,13 @@
 	d.publish([]StreamRow{{s, origin}})
 }
 
+// isWithdrawn reports whether this router knows that the stream was withdrawn. The caller must
+// hold d.mu.
+func (d *Directory) isWithdrawn(s Stream) bool {
+	r, ok := d.streams.Peek(s)
+	return ok && r.origin.Software == unknownSoftware
+}
+
 // observe updates the ledger of the pool. When another version has appeared, other routers
 // are told of the streams that have begun before.
 func (d *Directory) observe(pool string) {
@@ -297,11 +309,15 @@
 	}
 }
 
-// HandleOrigins records the origins of streams of which another router tells.
+// HandleOrigins records the origins of streams of which another router tells. A message about
+// the beginning of a stream may arrive after that of its withdrawal.
 func (d *Directory) HandleOrigins(origins []amrgossip.StreamOrigin) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, o := range origins {
+		if d.isWithdrawn(Stream(o.Stream)) {
+			continue
+		}
 		d.streams.Add(Stream(o.Stream), record{origin: Origin{Pool: PoolID(o.Pool), Software: amrpool.SoftwareID(o.Software)}})
 	}
 }
--- a/core/amrorigin/directory_test.go
+++ b/core/amrorigin/directory_test.go
@@ -237,3 +237,23 @@
 	f.clock.Advance(streamLife)
 	is.Equal(f.find(t, 0, "of before", ""), Unknown)
 }
+
+// TestWithdrawalHolds guards against a stream that goes on although it was withdrawn, since its
+// beginning is recorded later, here or by a message that another one has overtaken.
+func TestWithdrawalHolds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, map[string]string{"e1": "v1", "e2": "v2"})
+	d := f.directories[f.hosts[0]]
+	s, v1 := StreamOf("r"), amrpool.SoftwareIDOf("v1")
+	d.Withdraw(s, testPool)
+	d.Begin(s, testPool, v1)
+	d.HandleOrigins([]amrgossip.StreamOrigin{{Stream: uint64(s), Pool: uint32(PoolIDOf(testPool)), Software: uint32(v1)}})
+	_, certainty := d.Find(t.Context(), s, testPool)
+	is.Equal(certainty, Unknown)
+
+	other := StreamOf("other")
+	d.Begin(other, testPool, v1)
+	origin, certainty := d.Find(t.Context(), other, testPool)
+	is.Equal(certainty, Known)
+	is.Equal(origin.Software, v1)
+}
