--- a/review/standin-2/lab/engine.go
+++ b/review/standin-2/lab/engine.go
@@ -54,21 +54,62 @@
 	Pause    time.Duration // Between two events.
 	OnOrder  func(Order)   // Called when an order was accepted.
 	Ran      map[string]int
-	server   *http.Server
+
+	crashed     bool
+	incarnation int
+
+	// LateOrders is the number of next orders that get no answer and are carried out LateBy
+	// after they arrived.
+	LateOrders int
+	LateBy     time.Duration
+	server     *http.Server
 }
 
 // NewEngine starts a runner with weights of version 1 and lists it in the store.
 func NewEngine(name, pool, zone string, store *Store, record *Record) *Engine {
 	e := &Engine{Name: name, Pool: pool, Zone: zone, store: store, record: record, born: time.Now(), version: 1, Software: "v1", Events: 8, Pause: 20 * time.Millisecond, Ran: make(map[string]int)}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	e.Address = "127.0.0.1:0"
+	e.listen()
+	e.List()
+	return e
+}
+
+// listen accepts connections at the address of the runner.
+func (e *Engine) listen() {
+	listener, err := net.Listen("tcp", e.Address)
 	if err != nil {
 		Fail("%v", err)
 	}
 	e.Address = listener.Addr().String()
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
-	go func() { _ = e.server.Serve(listener) }()
+	server := e.server
+	go func() { _ = server.Serve(listener) }()
+}
+
+// Crash ends the runner, which starts again after the time under the id that it had. It
+// has the weights that it had before, and its count of orders starts anew.
+func (e *Engine) Crash(down time.Duration) {
+	e.mu.Lock()
+	e.crashed = true
+	server := e.server
+	e.record.Add("%s crashes", e.Name)
+	e.mu.Unlock()
+	_ = server.Close()
+	time.Sleep(down)
+	e.mu.Lock()
+	e.crashed, e.busy, e.seq, e.beats, e.born = false, false, 0, 0, time.Now()
+	e.incarnation++
+	e.listen()
+	e.record.Add("%s starts again under its id, with weights of version %d", e.Name, e.version)
+	e.mu.Unlock()
 	e.List()
-	return e
+}
+
+// Version returns the version of the weights.
+func (e *Engine) Version() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
 }
 
 // Beat lists the runner again every 1.2 s until the channel is closed.
@@ -78,7 +119,10 @@
 		case <-stop:
 			return
 		case <-time.After(1200 * time.Millisecond):
-			if !e.store.isDown() {
+			e.mu.Lock()
+			crashed := e.crashed
+			e.mu.Unlock()
+			if !crashed && !e.store.isDown() {
 				e.List()
 			}
 		}
@@ -142,43 +186,76 @@
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Op, Model, Mode, Holder string
-		Version                 int
-		Fence                   *uint64
-		Expected                *int
-	}
+	var o orderJSON
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Op != "version" || o.Holder == "" || o.Fence == nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.mu.Lock()
+	late := e.LateOrders > 0
+	if late {
+		e.LateOrders--
+		e.record.Add("%s gets an order of %s: version %d, expected %s, fence %d; no answer, carried out in %v", e.Name, o.Holder, o.Version, o.expected(), *o.Fence, e.LateBy)
+	}
+	e.mu.Unlock()
+	if late {
+		time.AfterFunc(e.LateBy, func() { e.accept(o, " late") })
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(e.accept(o, ""))
+}
+
+type orderJSON struct {
+	Op, Model, Mode, Holder string
+	Version                 int
+	Fence                   *uint64
+	Expected                *int
+}
+
+func (o orderJSON) expected() string {
+	if o.Expected == nil {
+		return "none"
+	}
+	return strconv.Itoa(*o.Expected)
+}
+
+// accept carries out the order if it may, and returns the status of the answer.
+func (e *Engine) accept(o orderJSON, late string) int {
 	e.mu.Lock()
 	status := http.StatusAccepted
 	switch {
-	case o.Version <= e.version:
-		status = http.StatusOK
+	case e.crashed:
+		status = http.StatusServiceUnavailable
 	case e.busy || o.Expected != nil && *o.Expected != e.seq:
 		status = http.StatusConflict
+	case o.Version == e.version:
+		status = http.StatusOK
 	default:
 		e.busy = true
 		e.seq++
 	}
 	got := Order{At: time.Now(), Engine: e.Name, Holder: o.Holder, Fence: *o.Fence, Version: o.Version, Status: status}
 	e.Orders = append(e.Orders, got)
-	e.record.Add("%s gets an order of %s: version %d, fence %d -> %d", e.Name, o.Holder, o.Version, *o.Fence, status)
+	e.record.Add("%s gets a%s order of %s: version %d, expected %s, fence %d -> %d", e.Name, late, o.Holder, o.Version, o.expected(), *o.Fence, status)
+	incarnation := e.incarnation
 	e.mu.Unlock()
-	w.WriteHeader(status)
 	if status == http.StatusAccepted {
-		go e.load(o.Version)
+		go e.load(o.Version, incarnation)
 		if e.OnOrder != nil {
 			e.OnOrder(got)
 		}
 	}
+	return status
 }
 
-func (e *Engine) load(version int) {
+func (e *Engine) load(version, incarnation int) {
 	time.Sleep(loadTime)
 	e.mu.Lock()
+	if e.incarnation != incarnation || e.crashed {
+		e.mu.Unlock()
+		return
+	}
 	e.version, e.busy = version, false
 	e.record.Add("%s has weights of version %d", e.Name, version)
 	e.mu.Unlock()
--- a/review/standin-2/lab/router.go
+++ b/review/standin-2/lab/router.go
@@ -286,9 +286,14 @@
 // Stop kills the process, if it runs, and waits for its end.
 func (r *Router) Stop() {
 	r.mu.Lock()
-	running := r.command != nil
+	ended := r.ended
 	r.mu.Unlock()
-	if running {
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	default:
 		r.Signal(syscall.SIGKILL)
 		r.Wait()
 	}
