--- a/review/standin-2/lab/engine.go
+++ b/review/standin-2/lab/engine.go
@@ -57,6 +57,7 @@
 
 	crashed     bool
 	incarnation int
+	quietUntil  time.Time // The runner doesn't write its entry before.
 
 	// LateOrders is the number of next orders that get no answer and are carried out LateBy
 	// after they arrived.
@@ -89,6 +90,12 @@
 // Crash ends the runner, which starts again after the time under the id that it had. It
 // has the weights that it had before, and its count of orders starts anew.
 func (e *Engine) Crash(down time.Duration) {
+	e.CrashAs(down, e.Software, 0)
+}
+
+// CrashAs is Crash for a runner that starts again with a version of the software, and writes
+// its entry the given time after its start.
+func (e *Engine) CrashAs(down time.Duration, software string, listedAfter time.Duration) {
 	e.mu.Lock()
 	e.crashed = true
 	server := e.server
@@ -99,10 +106,19 @@
 	e.mu.Lock()
 	e.crashed, e.busy, e.seq, e.beats, e.born = false, false, 0, 0, time.Now()
 	e.incarnation++
+	e.Software, e.quietUntil = software, time.Now().Add(listedAfter)
 	e.listen()
-	e.record.Add("%s starts again under its id, with weights of version %d", e.Name, e.version)
+	e.record.Add("%s starts again under its id, with weights of version %d and software %s", e.Name, e.version, software)
+	incarnation := e.incarnation
 	e.mu.Unlock()
-	e.List()
+	time.AfterFunc(listedAfter, func() {
+		e.mu.Lock()
+		current := e.incarnation == incarnation && !e.crashed
+		e.mu.Unlock()
+		if current {
+			e.List()
+		}
+	})
 }
 
 // Version returns the version of the weights.
@@ -120,9 +136,9 @@
 			return
 		case <-time.After(1200 * time.Millisecond):
 			e.mu.Lock()
-			crashed := e.crashed
+			quiet := e.crashed || time.Now().Before(e.quietUntil)
 			e.mu.Unlock()
-			if !crashed && !e.store.isDown() {
+			if !quiet && !e.store.isDown() {
 				e.List()
 			}
 		}
@@ -268,7 +284,7 @@
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, id string) {
 	h := w.Header()
 	e.mu.Lock()
-	version, busy, events, pause := e.version, e.busy, e.Events, e.Pause
+	version, busy, events, pause, software := e.version, e.busy, e.Events, e.Pause, e.Software
 	e.mu.Unlock()
 	expected := r.Header.Get("Amaranthreach-Expect-Version")
 	switch {
@@ -300,7 +316,7 @@
 	h.Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= events; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, e.Name)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d by %s of %s\n\n", n, n, software, e.Name)
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-r.Context().Done():
