--- a/review/standin-2/lab/engine.go
+++ b/review/standin-2/lab/engine.go
@@ -215,11 +215,11 @@
 	}
 	e.mu.Unlock()
 	if late {
-		time.AfterFunc(e.LateBy, func() { e.accept(o, " late") })
+		time.AfterFunc(e.LateBy, func() { e.accept(o, "a late") })
 		<-r.Context().Done()
 		return
 	}
-	w.WriteHeader(e.accept(o, ""))
+	w.WriteHeader(e.accept(o, "an"))
 }
 
 type orderJSON struct {
@@ -237,7 +237,7 @@
 }
 
 // accept carries out the order if it may, and returns the status of the answer.
-func (e *Engine) accept(o orderJSON, late string) int {
+func (e *Engine) accept(o orderJSON, article string) int {
 	e.mu.Lock()
 	status := http.StatusAccepted
 	switch {
@@ -253,7 +253,7 @@
 	}
 	got := Order{At: time.Now(), Engine: e.Name, Holder: o.Holder, Fence: *o.Fence, Version: o.Version, Status: status}
 	e.Orders = append(e.Orders, got)
-	e.record.Add("%s gets a%s order of %s: version %d, expected %s, fence %d -> %d", e.Name, late, o.Holder, o.Version, o.expected(), *o.Fence, status)
+	e.record.Add("%s gets a%s order of %s: version %d, expected %s, fence %d -> %d", e.Name, article, o.Holder, o.Version, o.expected(), *o.Fence, status)
 	incarnation := e.incarnation
 	e.mu.Unlock()
 	if status == http.StatusAccepted {
