--- a/review/standin-2/lab/engine.go
+++ b/review/standin-2/lab/engine.go
@@ -253,7 +253,7 @@
 	}
 	got := Order{At: time.Now(), Engine: e.Name, Holder: o.Holder, Fence: *o.Fence, Version: o.Version, Status: status}
 	e.Orders = append(e.Orders, got)
-	e.record.Add("%s gets a%s order of %s: version %d, expected %s, fence %d -> %d", e.Name, article, o.Holder, o.Version, o.expected(), *o.Fence, status)
+	e.record.Add("%s gets %s order of %s: version %d, expected %s, fence %d -> %d", e.Name, article, o.Holder, o.Version, o.expected(), *o.Fence, status)
 	incarnation := e.incarnation
 	e.mu.Unlock()
 	if status == http.StatusAccepted {
