--- a/review/standin-2/lab/router.go
+++ b/review/standin-2/lab/router.go
@@ -50,14 +50,30 @@
 	}
 }
 
-// FreePort returns a port that is free on the address.
-func FreePort(ip string) int {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		Fail("%v", err)
+// portsOfRouter is how many ports a router gets.
+const portsOfRouter = 20
+
+// freePorts returns the first of portsOfRouter ports in a row that are free on the address. They lie
+// below those that the system gives to outgoing connections.
+func freePorts(ip string) int {
+	for first := 20000; first < 30000; first += portsOfRouter {
+		if areFree(ip, first) {
+			return first
+		}
+	}
+	Fail("no ports are free on %s", ip)
+	return 0
+}
+
+func areFree(ip string, first int) bool {
+	for i := range portsOfRouter {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, first+i))
+		if err != nil {
+			return false
+		}
+		defer l.Close()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return true
 }
 
 var (
@@ -105,8 +121,8 @@
 // bounds are those of the site mandacaru-ops. Nothing is started.
 func NewRouter(n int, name, zone, store, dir string, seeds []string, record *Record) *Router {
 	ip := freeIP(n)
-	front, ready, control := FreePort(ip), FreePort(ip), FreePort(ip)
-	notices := FreePort(ip)
+	front := freePorts(ip)
+	ready, control, notices := front+1, front+2, front+3
 	r := &Router{Name: name, IP: ip, dir: dir, record: record}
 	r.Front = fmt.Sprintf("%s:%d", ip, front)
 	r.ready = fmt.Sprintf("%s:%d", ip, ready)
@@ -280,7 +296,8 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	Fail("%s is not ready", r.Name)
+	log, _ := os.ReadFile(filepath.Join(r.dir, r.Name+".log"))
+	Fail("%s is not ready; the end of its log: %s", r.Name, log[max(0, len(log)-2000):])
 }
 
 // Stop kills the process, if it runs, and waits for its end.
