Tell a reset from the ordinary end of a connection, whichever call meets it

What callers saw: a backend server answered an upload of some megabytes before it had read it, with neither a length nor chunks, sent part of the body and reset the connection. Callers got the part as a complete answer, on routes of every kind; a stream ended as complete after one event.

Cause: an answer without a length ends with its connection, so that the end must be told from a failure. The kernel reports a failure once, to the call that comes first. While a long body is being sent in the background, that is often the write, whose error was dropped since the response decides; the next read of the socket then returns an ordinary end.

After an ordinary end the state is CLOSE_WAIT; if the peer resets after it, the write returns EPIPE. Ruled out: reading again, which returns EOF each time, and waiting for the write, which lasts as long as the server does not read.

Change: tcpConn.Read returns io.EOF only if the socket has not failed, or if no call was told of a failure before the peer ended its direction. It waits for a write only if the socket has failed, upon which a write ends at once. The log line of the request says "a response without a length broke off".

--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,7 +33,7 @@
 
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*tcpConn
 	transport *Transport
 	address   string
 	limited   headLimiter
@@ -56,17 +57,13 @@
 	if idle >= c.reuseLimit || fresh && idle >= freshLimit {
 		return false
 	}
-	return c.reader.Buffered() == 0 && isOpenAndEmpty(c.Conn)
+	return c.reader.Buffered() == 0 && isOpenAndEmpty(c.tcp)
 }
 
 // isOpenAndEmpty reports whether the connection is open and has no received bytes
 // to read.
-func isOpenAndEmpty(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+func isOpenAndEmpty(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -80,25 +77,16 @@
 	return err == nil && open
 }
 
-// close resets the connection. Bytes that the server has not received are
-// discarded, so that they cannot take effect later.
-func (c *conn) close() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // Returns an error only if the connection is closed.
-	}
-	_ = c.Close() // Returns an error only if the connection is closed.
-}
-
 // roundTrip sends the request and reads the response up to its body. It discards
 // responses that belong to other requests.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
 	used := c.used
 	c.used = true
 	if err := c.prepareFor(len(r.Body)); err != nil {
-		c.close()
+		c.reset()
 		return nil, NotSent.Wrap(err, "cannot set the options of the connection to %s", c.address)
 	}
-	c.stop = context.AfterFunc(ctx, c.close)
+	c.stop = context.AfterFunc(ctx, c.reset)
 	if err := c.writeRequest(r); err != nil {
 		c.abort()
 		return nil, Broken.Wrap(err, "cannot send the whole request to %s; it may have run", c.address)
@@ -200,9 +188,7 @@
 		return err
 	}
 	c.writer.Go(func() error {
-		buffers := net.Buffers{head.Bytes(), r.Body}
-		_, err := buffers.WriteTo(c.Conn)
-		if err == nil {
+		if err := c.writeBuffers(net.Buffers{head.Bytes(), r.Body}); err == nil {
 			close(c.sent)
 		}
 		return nil // roundTrip reads a response or finds that the connection has failed.
@@ -244,21 +230,25 @@
 // because a late copy of it could not be told from the next response.
 func (c *conn) response(resp *http.Response, identified bool) *Response {
 	reuseLimit := parseKeepAlive(resp.Header.Get("Keep-Alive"))
+	ends := endsWithConnection(resp)
 	return &Response{
 		Status: resp.StatusCode,
 		Header: resp.Header,
 		Length: resp.ContentLength,
 
-		EndsWithConnection: endsWithConnection(resp),
+		EndsWithConnection: ends,
 
-		Body: &body{conn: c, reader: resp.Body, reusable: identified && !resp.Close && reuseLimit > 0, reuseLimit: reuseLimit},
+		Body: &body{
+			conn: c, reader: resp.Body, reusable: identified && !resp.Close && reuseLimit > 0, reuseLimit: reuseLimit,
+			endsWithConnection: ends,
+		},
 	}
 }
 
 // abort closes the connection and ends its dependency on the request's context.
 func (c *conn) abort() {
 	c.stop()
-	c.close()
+	c.reset()
 }
 
 // release returns the connection to the transport for reuse. It closes the
@@ -266,7 +256,7 @@
 // response.
 func (c *conn) release(limit time.Duration) {
 	if !c.stop() || c.reader.Buffered() > 0 {
-		c.close()
+		c.reset()
 		return
 	}
 	c.idleSince = c.transport.clock.Now()
@@ -282,15 +272,21 @@
 	reuseLimit time.Duration // Time for which the connection may be idle and still be reused.
 	ended      bool          // The body has been read to its end.
 	closed     bool
+
+	endsWithConnection bool // The body has neither a length nor chunks.
 }
 
 // Read reads from the body. It returns io.EOF at the end of a complete body, and
 // another error if the body is truncated. A body without a length ends with the
-// connection, so that a truncation is not detected if the server closes it.
+// connection, so that a truncation is detected only if the connection does not end in
+// order.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.ended = true
+	case err != nil && b.endsWithConnection:
+		err = fmt.Errorf("a response without a length broke off: %w", err)
 	}
 	return n, err
 }
@@ -323,11 +319,7 @@
 	if timeout == c.unackedTimeout {
 		return nil
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/core/amrhttp/tcp_conn.go
@@ -0,0 +1,184 @@
+package amrhttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// tcpConn is a TCP connection whose Read returns io.EOF only if the peer has ended its
+// direction of the connection in order.
+//
+// The kernel reports the failure of a connection, such as a reset, to one call only. If
+// that is a Write, the next Read of the socket sees an ordinary end. Read therefore looks
+// at the state of the socket, and at the result of the Write, before it reports an end.
+type tcpConn struct {
+	net.Conn
+	tcp *net.TCPConn // The same connection.
+
+	mu       sync.Mutex
+	writable *sync.Cond // No write is in progress.
+	writes   int        // Number of writes in progress.
+	failure  error      // The failure that a call has reported; nil if none has.
+}
+
+func newTCPConn(tcp *net.TCPConn) *tcpConn {
+	c := &tcpConn{Conn: tcp, tcp: tcp}
+	c.writable = sync.NewCond(&c.mu)
+	return c
+}
+
+// Read reads from the connection. It returns io.EOF at the end of what the peer sends, and
+// another error if the connection failed before that end.
+func (c *tcpConn) Read(p []byte) (int, error) {
+	n, err := c.tcp.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		return n, c.endError()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordFailure(err)
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *tcpConn) Write(p []byte) (int, error) {
+	c.beginWrite()
+	n, err := c.tcp.Write(p)
+	c.endWrite(err)
+	return n, err
+}
+
+// writeBuffers writes the buffers to the connection with as few calls as possible.
+func (c *tcpConn) writeBuffers(buffers net.Buffers) error {
+	c.beginWrite()
+	_, err := buffers.WriteTo(c.tcp)
+	c.endWrite(err)
+	return err
+}
+
+// reset closes the connection and discards the bytes that the peer has not received, so
+// that they cannot take effect later.
+func (c *tcpConn) reset() {
+	_ = c.tcp.SetLinger(0) // Returns an error only if the connection is closed.
+	_ = c.tcp.Close()      // The same.
+}
+
+func (c *tcpConn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+}
+
+func (c *tcpConn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.recordFailure(err)
+	}
+	if c.writes--; c.writes == 0 {
+		c.writable.Broadcast()
+	}
+}
+
+// recordFailure keeps the error of a call if it tells that the connection has failed before
+// the peer ended its direction in order. The caller must hold c.mu.
+func (c *tcpConn) recordFailure(err error) {
+	switch {
+	case c.failure != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
+	case errors.Is(err, syscall.EPIPE):
+		// Either the failure has been reported before, or the peer reset the connection
+		// after it had ended its direction.
+	default:
+		c.failure = err
+	}
+}
+
+// endError returns the error for a socket that has no more bytes to read: io.EOF if the peer
+// has ended its direction, or the failure of the connection.
+func (c *tcpConn) endError() error {
+	if c.isOpen() {
+		return io.EOF // Writes may go on, so that they must not be waited for.
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writes > 0 { // A write ends at once if the connection has failed.
+		c.writable.Wait()
+	}
+	if c.failure != nil {
+		return fmt.Errorf("the connection did not end in order: %w", c.failure)
+	}
+	return io.EOF
+}
+
+// tcpClosed is the state of a socket after a failure. As long as only the peer has ended its
+// direction, the socket has another state.
+const tcpClosed = unix.BPF_TCP_CLOSE
+
+// isOpen reports whether the connection has not failed and was not closed.
+func (c *tcpConn) isOpen() bool {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = err == nil && info.State != tcpClosed
+	})
+	return err == nil && open
+}
+
+// Dialer establishes TCP connections that detect within seconds that the peer no longer
+// responds, and that tell a failure from an ordinary end whether it is met while reading or
+// while writing. Create it with NewDialer.
+type Dialer struct {
+	dialer net.Dialer
+}
+
+// NewDialer returns a Dialer. The timeout applies to establishing a connection.
+func NewDialer(timeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeInterval,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+		ControlContext: controlSocket,
+	}}
+}
+
+// DialContext connects to the address. The network must be one of TCP.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (d *Dialer) dial(ctx context.Context, network, address string) (*tcpConn, error) {
+	nc, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		_ = nc.Close() // The connection is not used.
+		return nil, fmt.Errorf("the network %s is not TCP", network)
+	}
+	return newTCPConn(tcp), nil
+}
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -11,7 +11,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -140,7 +139,7 @@
 // Transport sends requests and keeps connections for reuse. It is safe for
 // concurrent use. Create it with New.
 type Transport struct {
-	dialer net.Dialer
+	dialer *Dialer
 	clock  clockwork.Clock
 
 	mu        sync.Mutex
@@ -170,21 +169,6 @@
 	return t
 }
 
-// NewDialer returns a dialer whose connections detect within seconds that the
-// peer no longer responds. The timeout applies to establishing a connection.
-func NewDialer(timeout time.Duration) net.Dialer {
-	return net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     probeInterval,
-			Interval: probeInterval,
-			Count:    probeCount,
-		},
-		ControlContext: controlSocket,
-	}
-}
-
 // Send sends the request and returns the response, whose body is still to be
 // read. Cancellation of the context closes the connection, also while the body is
 // being read. Errors are of kind NotSent or Broken.
@@ -213,14 +197,14 @@
 		if c.reusable(t.clock.Now(), fresh) {
 			return c, nil
 		}
-		c.close()
+		c.reset()
 	}
-	nc, err := t.dialer.DialContext(ctx, "tcp", address)
+	tcp, err := t.dialer.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "cannot connect to %s; try another backend server", address)
 	}
-	c := &conn{Conn: nc, transport: t, address: address, idleSince: t.clock.Now(), reuseLimit: idleLimit, unackedTimeout: unackedTimeout}
-	c.limited = headLimiter{Reader: nc}
+	c := &conn{tcpConn: tcp, transport: t, address: address, idleSince: t.clock.Now(), reuseLimit: idleLimit, unackedTimeout: unackedTimeout}
+	c.limited = headLimiter{Reader: tcp}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
 	return c, nil
 }
@@ -249,7 +233,7 @@
 		t.sweep(now)
 	}
 	if len(t.idle[c.address]) >= maxIdle || t.idleTotal >= maxIdleTotal {
-		c.close()
+		c.reset()
 		return
 	}
 	t.setIdle(c.address, append(t.idle[c.address], c))
@@ -264,7 +248,7 @@
 			if c.reusable(now, false) {
 				return false
 			}
-			c.close()
+			c.reset()
 			return true
 		}))
 	}
--- a/core/amrhttp/transport_test.go
+++ b/core/amrhttp/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,6 +32,7 @@
 	next      atomic.Int64 // Index of the next text.
 	conns     atomic.Int64 // Number of connections accepted so far.
 	group     errgroup.Group
+	stopped   chan struct{} // Closed at the end of the test.
 }
 
 // serve starts a server and stops it at the end of the test.
@@ -40,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{listener: listener, responses: responses}
+	s := &server{listener: listener, responses: responses, stopped: make(chan struct{})}
 	s.group.Go(func() error {
 		for {
 			conn, err := listener.Accept()
@@ -52,6 +54,7 @@
 		}
 	})
 	t.Cleanup(func() {
+		close(s.stopped)
 		_ = listener.Close()
 	})
 	return s
@@ -59,9 +62,11 @@
 
 // respond serves a connection. Instead of a response, a text may be "reset", which
 // resets the connection, or "hang", which sends nothing. With the prefix "early:",
-// the response is sent before the body of the request is read. With the suffix
-// "<close>", the connection is closed after the response. At "<pause>", sending
-// pauses so long that the client receives what comes before.
+// the response is sent before the body of the request is read. A suffix tells how the
+// connection ends after the response: "<close>" closes it, "<reset>" resets it, and
+// "<half-close>" ends only the direction to the client, while the body of the request
+// is not read. At "<pause>", sending pauses so long that the client receives what comes
+// before.
 func (s *server) respond(conn net.Conn) error {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -88,6 +93,8 @@
 			return nil
 		}
 		text, closes := strings.CutSuffix(text, "<close>")
+		text, resets := strings.CutSuffix(text, "<reset>")
+		text, halfCloses := strings.CutSuffix(text, "<half-close>")
 		for i, part := range strings.Split(text, "<pause>") {
 			if i > 0 {
 				clockwork.NewRealClock().Sleep(20 * time.Millisecond)
@@ -96,10 +103,20 @@
 				return nil
 			}
 		}
-		if closes {
-			return nil
+		if halfCloses {
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				return err
+			}
 		}
-		if early {
+		switch {
+		case closes:
+			return nil
+		case resets:
+			return conn.(*net.TCPConn).SetLinger(0)
+		case halfCloses:
+			<-s.stopped
+			return nil
+		case early:
 			// If the body were read now, the client could send the request completely
 			// and reuse the connection.
 			s.awaitConns(2)
@@ -119,7 +136,8 @@
 
 // TestTransport runs the cases in testdata/transport. The input of a case lists
 // the responses of a server, separated by lines of "--", and the output lists the
-// result of each request.
+// result of each request. With the argument "times", the request is sent that often, to a
+// new server each time, and the output tells how often its response was complete.
 func TestTransport(t *testing.T) {
 	datadriven.RunTest(t, "testdata/transport", func(t *testing.T, d *datadriven.TestData) string {
 		var responses []string
@@ -127,23 +145,45 @@
 			answer = strings.ReplaceAll(answer, "\n", "\r\n")
 			responses = append(responses, strings.NewReplacer("<lf>", "\n", "\\", "", "<mib>", strings.Repeat("x", 1<<20)).Replace(answer))
 		}
-		s := serve(t, responses)
-		transport := amrhttp.New()
-		var out strings.Builder
-		body := ""
-		if d.HasArg("long") {
-			body = strings.Repeat("x", 8<<20)
-		}
-		for i := range len(responses) {
-			out.WriteString(send(t, transport, s.listener.Addr().String(), i, body, d.HasArg("fresh")))
+		if d.HasArg("times") {
+			return countComplete(t, d, responses)
 		}
-		if d.HasArg("conns") {
-			out.WriteString("connections: " + string(rune('0'+s.conns.Load())) + "\n")
-		}
-		return out.String()
+		return sendAll(t, d, responses)
 	})
 }
 
+// countComplete sends the request as often as the argument says and tells how often the
+// response was complete.
+func countComplete(t *testing.T, d *datadriven.TestData, responses []string) string {
+	var times, complete int
+	d.ScanArgs(t, "times", &times)
+	for range times {
+		if !strings.Contains(sendAll(t, d, responses), "broken") {
+			complete++
+		}
+	}
+	return fmt.Sprintf("complete: %d of %d\n", complete, times)
+}
+
+// sendAll sends one request after the other to a server with the responses. It returns
+// their results, a line each.
+func sendAll(t *testing.T, d *datadriven.TestData, responses []string) string {
+	s := serve(t, responses)
+	transport := amrhttp.New()
+	var out strings.Builder
+	body := ""
+	if d.HasArg("long") {
+		body = strings.Repeat("x", 8<<20)
+	}
+	for i := range len(responses) {
+		out.WriteString(send(t, transport, s.listener.Addr().String(), i, body, d.HasArg("fresh")))
+	}
+	if d.HasArg("conns") {
+		out.WriteString("connections: " + string(rune('0'+s.conns.Load())) + "\n")
+	}
+	return out.String()
+}
+
 // send sends the request with the number n and returns the result as a line.
 func send(t *testing.T, transport *amrhttp.Transport, address string, n int, body string, fresh bool) string {
 	t.Helper()
--- a/standin/amrsite/records.go
+++ b/standin/amrsite/records.go
@@ -1,6 +1,7 @@
 package amrsite
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -38,7 +39,7 @@
 const Host = "shop.example"
 
 // MaxBodyBytes is the maximum size of a request body in the configuration that
-// PutConfig writes.
+// PutConfig writes, unless SetMaxBodyBytes has set another one.
 const MaxBodyBytes = 1000
 
 // Team is the name of the first team in the configuration that PutConfig writes.
@@ -208,11 +209,25 @@
 			{Name: EnginePool, Engine: &engineJSON{Slots: slots, KVCapacity: EngineMemory, Models: []ModelInfo{{Name: model}}}},
 			{Name: ServicePool},
 		},
-		Limits:  limitsJSON{HeaderBytes: 16 << 10, MaxBodyBytes: MaxBodyBytes, HeaderTimeoutMs: 3000, IdleMs: 15000},
+		Limits:  limitsJSON{HeaderBytes: 16 << 10, MaxBodyBytes: s.currentMaxBodyBytes(), HeaderTimeoutMs: 3000, IdleMs: 15000},
 		Tenants: tenants,
 	})
 }
 
+// SetMaxBodyBytes sets the maximum size of a request body in the configurations that are
+// written from now on.
+func (s *Store) SetMaxBodyBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxBodyBytes = n
+}
+
+func (s *Store) currentMaxBodyBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cmp.Or(s.maxBodyBytes, MaxBodyBytes)
+}
+
 // PutMalformedRows writes malformed rows to the server list and to the target
 // versions of weights.
 func (s *Store) PutMalformedRows() {
--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -46,6 +46,7 @@
 	Tokens      string        // "PROMPT,OUTPUT" tokens; empty for defaultTokens.
 	BeginsAfter time.Duration // Time for which it waits at an engine before it begins.
 	Flood       int           // If not 0, the number of large events that an engine sends at once in place of its stream.
+	UploadBytes int           // Length of the body; 0 for a short one.
 }
 
 // defaultTokens are the prompt tokens and the maximum number of output tokens of a
@@ -70,7 +71,7 @@
 	if r.BeginsAfter > 0 {
 		url += "&" + waitQuery + "=" + r.BeginsAfter.String()
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(r.body()))
 	if err != nil {
 		return nil, err
 	}
@@ -91,6 +92,14 @@
 	return request, nil
 }
 
+// body returns the body of the request.
+func (r Request) body() string {
+	if r.UploadBytes > 0 {
+		return strings.Repeat("x", r.UploadBytes)
+	}
+	return "body"
+}
+
 // Stream reports whether the response is a stream of events.
 func (r Request) Stream() bool {
 	return r.Route == StreamRoute || r.Route == ResumableStreamRoute || r.Route == PatientStreamRoute
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -31,6 +31,8 @@
 	FaultNoLength               // The server sends a whole response with neither a length nor chunks and closes the connection.
 	FaultIncompleteEvent        // The server sends a stream with a length that ends inside an event.
 	FaultNoLengthTruncate       // The same, but a stream ends inside an event. The response of a plain service is whole.
+	FaultEarlyReset             // The server begins a response with neither a length nor chunks before it has read the request, and resets the connection inside the body.
+	FaultEarlyWhole             // The same, but the response is whole, and the server ends it in order and reads the request after that. This is no fault by HTTP.
 )
 
 const (
@@ -320,7 +322,9 @@
 
 // serve runs a request, or simulates the fault that applies to it.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // An error of the body has no effect on the response.
+	if !s.respondsEarly() {
+		_, _ = io.Copy(io.Discard, r.Body) // An error of the body has no effect on the response.
+	}
 	if !s.awaitBegin(r) {
 		panic(http.ErrAbortHandler)
 	}
@@ -369,6 +373,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if s.sendRaw(w, r, fault) {
+		return
+	}
 	switch {
 	case fault == FaultDribble:
 		s.dribble(w, r)
--- a/standin/amrsite/store.go
+++ b/standin/amrsite/store.go
@@ -30,6 +30,7 @@
 	faults       StoreFaults
 	replacements map[string]string // Replacements of addresses in values that are read over HTTP.
 	calls        map[string]int    // Number of calls by name.
+	maxBodyBytes int               // In configurations; 0 for MaxBodyBytes.
 }
 
 // state is what a store keeps.
