Reject responses of backend servers with an invalid status

What callers saw: a backend server in trouble sent a response with the status 000. Callers got an answer: if its body looked like a response with the same request ID, they got that one, with the status 200 and its body.

Cause: every status below 200 was taken for that of an interim response, so that the head was skipped and the bytes that followed it were read as the next head. The same holds for 001, 099 and +20, which the parser reads as a number. Statuses above 599 were passed on.

Change: a response whose status is not from 100 to 599 (RFC 9110, section 15) is no answer: an idempotent request is sent again, another one gets 502, and the log line says "the status 000, which is invalid". That statuses above 599 are rejected too is a decision: the RFC calls them invalid, and a caller would have to take them for a server error, which 502 is.

Tests, on the code before: TestTransport, the inner response complete for 000, 001, 099 and +20, and 600 and 999 passed on; TestBrokenAnswersOfAllServers: 200 in place of 502; TestBrokenAnswersOfOneServer: no request was sent again. The opposite passed before and passes now: 100, 103, an interim response with another status, and a final one with 599 (TestTransport, TestWholeAnswers).

--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -127,10 +127,13 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		switch {
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitched
-		case resp.StatusCode >= http.StatusOK:
+		case resp.StatusCode >= minFinalStatus:
 			return resp, nil
 		}
 	}
--- a/standin/amrsite/raw.go
+++ b/standin/amrsite/raw.go
@@ -12,12 +12,14 @@
 // rawResponse is a response that is sent byte for byte, so that it may break the rules of
 // HTTP.
 type rawResponse struct {
-	statusLine string
-	fields     string // Lines of the header beside those that identify the response.
-	body       string
-	end        func(*net.TCPConn) // Ends the connection.
+	preceding string // Precedes the response.
+	body      string
+	end       func(*net.TCPConn) // Ends the connection.
 }
 
+// okLine is the status line of successful responses.
+const okLine = "HTTP/1.1 200 OK\r\n"
+
 // earlyPause is the time between a response that breaks off and the reset of its
 // connection, in which the router receives the response.
 const earlyPause = 5 * time.Millisecond
@@ -35,38 +37,44 @@
 // sendRaw sends the response of a fault that net/http would not send. It reports whether the
 // fault is one of these.
 func (s *Server) sendRaw(w http.ResponseWriter, r *http.Request, fault Fault) bool {
-	response := rawResponse{statusLine: "HTTP/1.1 200 OK", body: s.wholeBody(r), end: closeInOrder}
+	if s.Model != "" {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	response := rawResponse{body: s.wholeBody(r), end: closeInOrder}
 	switch fault {
 	case FaultEarlyReset:
 		response.body = s.partialBody(r)
 		response.end = s.pauseAndReset
 	case FaultEarlyWhole:
 		response.end = s.readOn
+	case FaultInvalidStatus:
+		response.preceding = "HTTP/1.1 000 Error\r\n" + headerText(w.Header()) + "\r\n"
+	case FaultInterim:
+		response.preceding = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n"
 	default:
 		return false
 	}
-	response.send(w, s.Model != "")
+	response.send(w)
 	return true
 }
 
-// send sends the response with the fields that are set in the header of w. If stream, it has
-// the content type of events.
-func (r rawResponse) send(w http.ResponseWriter, stream bool) {
-	if stream {
-		w.Header().Set("Content-Type", "text/event-stream")
-	}
-	var b strings.Builder
-	b.WriteString(r.statusLine + "\r\n")
-	_ = w.Header().Write(&b) // A Builder returns no error.
-	b.WriteString(r.fields + "\r\n" + r.body)
+// send sends the response with the header of w.
+func (r rawResponse) send(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // The connections of an HTTP/1.1 server can always be hijacked.
 	}
-	_, _ = io.WriteString(conn, b.String()) // The client detects an error.
+	_, _ = io.WriteString(conn, r.preceding+okLine+headerText(w.Header())+"\r\n"+r.body) // The client detects an error.
 	r.end(conn.(*net.TCPConn))
 }
 
+// headerText returns the lines of the header.
+func headerText(h http.Header) string {
+	var b strings.Builder
+	_ = h.Write(&b) // A Builder returns no error.
+	return b.String()
+}
+
 // wholeBody returns the body of the whole response to the request.
 func (s *Server) wholeBody(r *http.Request) string {
 	if s.Model == "" {
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -33,6 +33,8 @@
 	FaultNoLengthTruncate       // The same, but a stream ends inside an event. The response of a plain service is whole.
 	FaultEarlyReset             // The server begins a response with neither a length nor chunks before it has read the request, and resets the connection inside the body.
 	FaultEarlyWhole             // The same, but the response is whole, and the server ends it in order and reads the request after that. This is no fault by HTTP.
+	FaultInvalidStatus          // The server sends a response with the status 000, whose body looks like a whole response with the status 200.
+	FaultInterim                // The server sends interim responses and then a whole response. This is no fault by HTTP.
 )
 
 const (
