Reject responses whose head is not valid

What callers saw: a backend server in trouble sent a head in which the name of a field held a blank. Callers got an answer without that line. If the line was "Content-Length : 4" or "Transfer-Encoding : chunked", they got a body that was not the server's: with the bytes that followed it, or with the marks of chunks.

Cause: http.ReadResponse accepts blanks in names, does not find the field that tells the length under such a name, and then takes the end of the connection for that of the body. The writer to the caller leaves such names out. The same parser accepts other heads of the class: a control byte in the status line, HTTP/2.0 as the version, a length beside an encoding, an encoding in HTTP/1.0 (ignored, so that the marks of chunks reached callers), an interim response with a length whose body was read as the next head, and a blank in a name of the fields after a body in chunks.

Change: headChecker checks each line of a head as it arrives against RFC 9112 before http.ReadResponse sees it; the bytes are then read again, so that the framing of bodies stays with net/http. Interim responses and late responses are checked likewise, and the names after a body in chunks when it has ended. Such a response is treated as any bytes that are no answer. The log line names the field or the byte.

Handled before, tests kept: no colon, no name, a tab, a control byte or one above 127 in a name, a control byte in a value, white space before the first field, a control byte in a field after a body in chunks, a late response with such a head. The opposite passed before and passes now: odd and empty names and values, folded lines, bytes above 127, no reason phrase, lines that end with a line feed, HTTP/1.0, and a head longer than the read buffer (TestTransport, TestWholeAnswers).

--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -1,7 +1,6 @@
 package amrhttp
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -36,9 +35,8 @@
 	*tcpConn
 	transport *Transport
 	address   string
-	limited   headLimiter
-	reader    *bufio.Reader // Reads from limited.
-	used      bool          // The connection has carried a request.
+	responses *responseReader
+	used      bool // The connection has carried a request.
 
 	unackedTimeout time.Duration // Time for which sent bytes may remain unacknowledged; 0 if there is no limit.
 
@@ -57,7 +55,7 @@
 	if idle >= c.reuseLimit || fresh && idle >= freshLimit {
 		return false
 	}
-	return c.reader.Buffered() == 0 && isOpenAndEmpty(c.tcp)
+	return c.responses.isEmpty() && isOpenAndEmpty(c.tcp)
 }
 
 // isOpenAndEmpty reports whether the connection is open and has no received bytes
@@ -92,7 +90,7 @@
 		return nil, Broken.Wrap(err, "cannot send the whole request to %s; it may have run", c.address)
 	}
 	for range maxResponses {
-		resp, err := c.readHead(r.Method)
+		resp, err := c.responses.readHead(r.Method)
 		if err != nil {
 			c.abort()
 			return nil, Broken.Wrap(err, "no response from %s; the request may have run", c.address)
@@ -117,59 +115,6 @@
 	return nil, Broken.New("the responses from %s belong to other requests; the request may have run", c.address)
 }
 
-// readHead reads a response up to its body. It skips interim responses. The error
-// is errHeadTooLong if all of this exceeds maxHeadBytes.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limited.limit(maxHeadBytes)
-	defer c.limited.unlimit()
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if err := checkStatus(resp.StatusCode); err != nil {
-			return nil, err
-		}
-		switch {
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errSwitched
-		case resp.StatusCode >= minFinalStatus:
-			return resp, nil
-		}
-	}
-}
-
-var (
-	errHeadTooLong = errors.New("the response has no body within " + strconv.Itoa(maxHeadBytes) + " bytes")
-	errSwitched    = errors.New("the server switched to a protocol that was not asked for")
-)
-
-// headLimiter limits the number of bytes that are read while the head of a
-// response is expected. The zero value has no limit.
-type headLimiter struct {
-	io.Reader
-	limited bool
-	left    int // Bytes that may still be read if limited.
-}
-
-func (l *headLimiter) limit(n int) { l.limited, l.left = true, n }
-
-func (l *headLimiter) unlimit() { l.limited = false }
-
-// Read reads at most the bytes that are left. If there are none, it returns
-// errHeadTooLong.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.Reader.Read(p)
-	}
-	if l.left == 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.Reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // writeRequest writes the request to the connection. A body longer than
 // maxSyncBody is sent in the background.
 func (c *conn) writeRequest(r *Request) error {
@@ -242,7 +187,7 @@
 		EndsWithConnection: ends,
 
 		Body: &body{
-			conn: c, reader: resp.Body, reusable: identified && !resp.Close && reuseLimit > 0, reuseLimit: reuseLimit,
+			conn: c, response: resp, reusable: identified && !resp.Close && reuseLimit > 0, reuseLimit: reuseLimit,
 			endsWithConnection: ends,
 		},
 	}
@@ -258,7 +203,7 @@
 // connection instead if the request's context is done or bytes follow the
 // response.
 func (c *conn) release(limit time.Duration) {
-	if !c.stop() || c.reader.Buffered() > 0 {
+	if !c.stop() || !c.responses.isEmpty() {
 		c.reset()
 		return
 	}
@@ -270,7 +215,7 @@
 // body is the body of a response.
 type body struct {
 	conn       *conn
-	reader     io.ReadCloser
+	response   *http.Response
 	reusable   bool          // The server allows reuse of the connection after the response.
 	reuseLimit time.Duration // Time for which the connection may be idle and still be reused.
 	ended      bool          // The body has been read to its end.
@@ -284,9 +229,12 @@
 // connection, so that a truncation is detected only if the connection does not end in
 // order.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
+	n, err := b.response.Body.Read(p)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
+		if err := checkNames(b.response.Trailer); err != nil {
+			return n, err
+		}
 		b.ended = true
 	case err != nil && b.endsWithConnection:
 		err = fmt.Errorf("a response without a length broke off: %w", err)
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -8,7 +8,6 @@
 package amrhttp
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -203,10 +202,10 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err, "cannot connect to %s; try another backend server", address)
 	}
-	c := &conn{tcpConn: tcp, transport: t, address: address, idleSince: t.clock.Now(), reuseLimit: idleLimit, unackedTimeout: unackedTimeout}
-	c.limited = headLimiter{Reader: tcp}
-	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
-	return c, nil
+	return &conn{
+		tcpConn: tcp, transport: t, address: address, responses: newResponseReader(tcp),
+		idleSince: t.clock.Now(), reuseLimit: idleLimit, unackedTimeout: unackedTimeout,
+	}, nil
 }
 
 // take removes and returns the idle connection to the address that was kept last,
--- a/core/amrhttp/transport_test.go
+++ b/core/amrhttp/transport_test.go
@@ -134,6 +134,13 @@
 	}
 }
 
+// scriptBytes replaces what scripts write for bytes that their lines cannot contain, or for
+// many bytes.
+var scriptBytes = strings.NewReplacer(
+	"\\", "", "<tab>", "\t", "<lf>", "\n", "<cr>", "\r", "<nul>", "\x00", "<0xe4>", "\xe4",
+	"<kib>", strings.Repeat("x", 1<<10), "<mib>", strings.Repeat("x", 1<<20),
+)
+
 // TestTransport runs the cases in testdata/transport. The input of a case lists
 // the responses of a server, separated by lines of "--", and the output lists the
 // result of each request. With the argument "times", the request is sent that often, to a
@@ -143,7 +150,7 @@
 		var responses []string
 		for answer := range strings.SplitSeq(d.Input, "\n--\n") {
 			answer = strings.ReplaceAll(answer, "\n", "\r\n")
-			responses = append(responses, strings.NewReplacer("<lf>", "\n", "\\", "", "<mib>", strings.Repeat("x", 1<<20)).Replace(answer))
+			responses = append(responses, scriptBytes.Replace(answer))
 		}
 		if d.HasArg("times") {
 			return countComplete(t, d, responses)
--- a/standin/amrsite/raw.go
+++ b/standin/amrsite/raw.go
@@ -13,6 +13,7 @@
 // HTTP.
 type rawResponse struct {
 	preceding string // Precedes the response.
+	fields    string // Lines of the header beside those that identify the response.
 	body      string
 	end       func(*net.TCPConn) // Ends the connection.
 }
@@ -20,6 +21,9 @@
 // okLine is the status line of successful responses.
 const okLine = "HTTP/1.1 200 OK\r\n"
 
+// oddFields are lines of a header that are unusual and valid.
+const oddFields = "!#$%&'*+-.^_`|~9: x\r\nx:\r\nX-Odd:\t a\xe4\tb \r\nx-folded: a\r\n b\r\n"
+
 // earlyPause is the time between a response that breaks off and the reset of its
 // connection, in which the router receives the response.
 const earlyPause = 5 * time.Millisecond
@@ -49,6 +53,13 @@
 		response.end = s.readOn
 	case FaultInvalidStatus:
 		response.preceding = "HTTP/1.1 000 Error\r\n" + headerText(w.Header()) + "\r\n"
+	case FaultFieldName:
+		response.fields = "X Line: x\r\n"
+	case FaultLengthName:
+		response.fields = "Content-Length : " + strconv.Itoa(len(response.body)) + "\r\n"
+		response.body += "no answer at all"
+	case FaultOddFields:
+		response.fields = oddFields
 	case FaultInterim:
 		response.preceding = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n"
 	default:
@@ -64,7 +75,7 @@
 	if err != nil {
 		panic(err) // The connections of an HTTP/1.1 server can always be hijacked.
 	}
-	_, _ = io.WriteString(conn, r.preceding+okLine+headerText(w.Header())+"\r\n"+r.body) // The client detects an error.
+	_, _ = io.WriteString(conn, r.preceding+okLine+headerText(w.Header())+r.fields+"\r\n"+r.body) // The client detects an error.
 	r.end(conn.(*net.TCPConn))
 }
 
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -34,7 +34,10 @@
 	FaultEarlyReset             // The server begins a response with neither a length nor chunks before it has read the request, and resets the connection inside the body.
 	FaultEarlyWhole             // The same, but the response is whole, and the server ends it in order and reads the request after that. This is no fault by HTTP.
 	FaultInvalidStatus          // The server sends a response with the status 000, whose body looks like a whole response with the status 200.
+	FaultFieldName              // The server sends a response with a blank in the name of a field.
+	FaultLengthName             // The server sends a response without a length by HTTP, because a blank follows the name of that field, with more bytes after its body.
 	FaultInterim                // The server sends interim responses and then a whole response. This is no fault by HTTP.
+	FaultOddFields              // The server sends a whole response with unusual fields. This is no fault by HTTP.
 )
 
 const (
