Check answers of net/http clients as those of backend servers

What callers saw: nothing was reported; the same causes were looked for wherever answers are read. Sidecars passed on half of an early answer of a plain service as a whole one, a status 000, and a body under the framing of "Content-Length : 3". A status 000 of an engine became a refusal that says not-run, which is not known. A router believed a write of the store to be in conflict by a head that is none, and a read to be of a store without eras, as the line "Store-Era : 5" was left out.

Cause: the sidecars, the clients of the platform's services and of the store, and the calls between routers use net/http's client, which meets a reset like the transport of amrhttp did, takes names with blanks and any status, and ignores an encoding in HTTP/1.0.

Change: amrhttp.NewRoundTripper checks the connections and heads of an http.Transport. The check of heads moves into headScanner, which works on the bytes as they arrive and serves both clients; a trace tells a connection when a head is expected. Over TLS, which detects truncation itself, the status and the names are checked after parsing. A sidecar logs what went wrong on the connection of an attempt ("attempt failed").

Not affected: health checks (routers send none to backend servers, and answer the platform's by status), answers of routers to amrctl (always framed), the protocol of routers and sidecars (drpc).

Tests, on the code before: TestRoundTripper, 2 and 18 of 20 early answers complete, and seven responses passed on in parts; TestBrokenAnswers of the sidecar, 20 of 20 answered, a status 000 and a wrong body passed on, an untrue not-run; TestControlAnswers, a report, an order and a read accepted, a write in conflict. Handled before, tests kept: events of an engine that break off (a marker ends them). The opposite passed before and passes now: interim responses, odd fields, heads that arrive in parts, connections that are used again, early whole answers.

--- a/core/amrhttp/response_reader.go
+++ b/core/amrhttp/response_reader.go
@@ -2,15 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 )
 
-var errHeadTooLong = errors.New("the response has no body within " + strconv.Itoa(maxHeadBytes) + " bytes")
-
 // responseReader reads responses from a connection. Create it with newResponseReader.
 type responseReader struct {
 	buffered *bufio.Reader // Reads from source.
@@ -29,12 +25,11 @@
 }
 
 // readHead reads a response to a request with the method, up to the response's body. It
-// skips interim responses. It returns an error if the head is not valid, and errHeadTooLong
-// if all of this exceeds maxHeadBytes.
+// skips interim responses. It returns an error if the head is not valid or is too long.
 func (r *responseReader) readHead(method string) (*http.Response, error) {
-	left := maxHeadBytes
+	scanner := newHeadScanner()
 	for {
-		head, status, err := r.checkHead(left)
+		head, status, err := r.scanHead(scanner)
 		if err != nil {
 			return nil, err
 		}
@@ -42,47 +37,32 @@
 			r.unread(head)
 			return http.ReadResponse(r.buffered, &http.Request{Method: method})
 		}
-		left -= len(head)
 	}
 }
 
-// checkHead reads and checks a head of at most the given length. It returns its bytes and the
-// status.
-func (r *responseReader) checkHead(maxBytes int) (head []byte, status int, err error) {
-	var checker headChecker
+// scanHead reads and checks a head. It returns its bytes and the status.
+func (r *responseReader) scanHead(scanner *headScanner) (head []byte, status int, err error) {
 	head = make([]byte, 0, readBuffer/2)
-	lineStart := 0
 	for {
-		part, err := r.buffered.ReadSlice('\n')
-		if len(head)+len(part) > maxBytes {
-			return nil, 0, errHeadTooLong
-		}
-		head = append(head, part...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF):
-			return nil, 0, io.ErrUnexpectedEOF
-		case err != nil:
+		if _, err := r.buffered.Peek(1); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
 			return nil, 0, err
 		}
-		ended, err := checker.push(trimLineEnd(head[lineStart:]))
-		if ended || err != nil {
-			return head, checker.status, err
+		received, _ := r.buffered.Peek(r.buffered.Buffered()) // What is in the buffer can be peeked at.
+		n, status, err := scanner.scan(received)
+		head = append(head, received[:n]...)
+		_, _ = r.buffered.Discard(n) // The same.
+		if status != 0 || err != nil {
+			return head, status, err
 		}
-		lineStart = len(head)
 	}
 }
 
-// trimLineEnd returns the line without the line feed at its end, and without the carriage
-// return before that.
-func trimLineEnd(line []byte) []byte {
-	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
-}
-
 // unread lets the head, which was read last, be read again before what follows it.
 func (r *responseReader) unread(head []byte) {
-	rest, _ := r.buffered.Peek(r.buffered.Buffered()) // Bytes in the buffer can be peeked at.
+	rest, _ := r.buffered.Peek(r.buffered.Buffered()) // What is in the buffer can be peeked at.
 	r.source.replay = append(append(head, rest...), r.source.replay...)
 	r.buffered.Reset(&r.source)
 }
--- a/core/amrhttp/transport_test.go
+++ b/core/amrhttp/transport_test.go
@@ -147,11 +147,7 @@
 // new server each time, and the output tells how often its response was complete.
 func TestTransport(t *testing.T) {
 	datadriven.RunTest(t, "testdata/transport", func(t *testing.T, d *datadriven.TestData) string {
-		var responses []string
-		for answer := range strings.SplitSeq(d.Input, "\n--\n") {
-			answer = strings.ReplaceAll(answer, "\n", "\r\n")
-			responses = append(responses, scriptBytes.Replace(answer))
-		}
+		responses := parseResponses(d.Input)
 		if d.HasArg("times") {
 			return countComplete(t, d, responses)
 		}
@@ -159,6 +155,24 @@
 	})
 }
 
+// parseResponses returns the responses in the input of a case.
+func parseResponses(input string) []string {
+	var responses []string
+	for response := range strings.SplitSeq(input, "\n--\n") {
+		response = strings.ReplaceAll(response, "\n", "\r\n")
+		responses = append(responses, scriptBytes.Replace(response))
+	}
+	return responses
+}
+
+// bodyOf returns the body of the requests of a case, which is empty or long.
+func bodyOf(d *datadriven.TestData) string {
+	if d.HasArg("long") {
+		return strings.Repeat("x", 8<<20)
+	}
+	return ""
+}
+
 // countComplete sends the request as often as the argument says and tells how often the
 // response was complete.
 func countComplete(t *testing.T, d *datadriven.TestData, responses []string) string {
@@ -178,12 +192,8 @@
 	s := serve(t, responses)
 	transport := amrhttp.New()
 	var out strings.Builder
-	body := ""
-	if d.HasArg("long") {
-		body = strings.Repeat("x", 8<<20)
-	}
 	for i := range len(responses) {
-		out.WriteString(send(t, transport, s.listener.Addr().String(), i, body, d.HasArg("fresh")))
+		out.WriteString(send(t, transport, s.listener.Addr().String(), i, bodyOf(d), d.HasArg("fresh")))
 	}
 	if d.HasArg("conns") {
 		out.WriteString("connections: " + string(rune('0'+s.conns.Load())) + "\n")
--- a/core/amrplatform/client.go
+++ b/core/amrplatform/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"amaranthreach.example/core/amrhttp"
 )
 
 // DefaultTimeout is the time limit for a call of a Client without WithTimeout.
@@ -37,7 +39,7 @@
 func NewClient(baseURL string, opts ...Option) *Client {
 	c := &Client{
 		baseURL: strings.TrimSuffix(baseURL, "/"),
-		http:    &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()},
+		http:    &http.Client{Transport: amrhttp.NewRoundTripper(http.DefaultTransport.(*http.Transport))},
 		timeout: DefaultTimeout,
 	}
 	for _, opt := range opts {
--- a/core/amrreplica/peers.go
+++ b/core/amrreplica/peers.go
@@ -12,6 +12,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 	"github.com/zeebo/xxh3"
+
+	"amaranthreach.example/core/amrhttp"
 )
 
 const (
@@ -84,7 +86,7 @@
 func NewPeers(self Router, addresses []string, clock clockwork.Clock, log *slog.Logger, opts ...Option) *Peers {
 	p := &Peers{
 		self: self, clock: clock, log: log,
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		client:    &http.Client{Transport: amrhttp.NewRoundTripper(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})},
 		addresses: slices.Clone(addresses), avoided: make(map[string]time.Time),
 	}
 	for _, opt := range opts {
--- a/sidecar/amrsidecar/attempt.go
+++ b/sidecar/amrsidecar/attempt.go
@@ -61,6 +61,7 @@
 		if failed.ran == amrreason.NotRun && !a.gate.servesWeights(a.request.GetWeightsVersion()) {
 			failed.reason = amrreason.WrongWeights // The weights changed while the request was sent to the engine.
 		}
+		a.logFailure(failed)
 		a.detectCrash(failed, incarnation)
 		return a.fail(failed)
 	}
@@ -69,6 +70,13 @@
 	return a.end(result)
 }
 
+// logFailure logs what went wrong on the connection to the backend server.
+func (a *attempt) logFailure(failed attemptError) {
+	if failed.cause != nil {
+		a.gate.sidecar.log.Warn("attempt failed", "id", a.request.GetRequestId(), "reason", failed.reason, "ran", failed.ran, "err", failed.cause)
+	}
+}
+
 // detectCrash checks whether the backend server crashed while it ran the request,
 // and if so records a strike against the request. The incarnation is that of the
 // backend server when the request was sent to it.
--- a/sidecar/amrsidecar/backend.go
+++ b/sidecar/amrsidecar/backend.go
@@ -68,6 +68,7 @@
 type attemptError struct {
 	reason amrreason.Code
 	ran    amrreason.Ran
+	cause  error // What went wrong on the connection to the backend server; nil if nothing did.
 }
 
 // Error returns the reason and whether the attempt ran.
--- a/sidecar/amrsidecar/engine.go
+++ b/sidecar/amrsidecar/engine.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrhttp"
 	"amaranthreach.example/core/amrprompt"
 	"amaranthreach.example/core/amrreason"
 	"amaranthreach.example/core/amrsse"
@@ -46,7 +47,7 @@
 }
 
 func newEngine(url string, clock clockwork.Clock, log *slog.Logger, observer engineObserver) *engine {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	transport := amrhttp.NewRoundTripper(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true})
 	return &engine{url: url, client: &http.Client{Transport: transport}, clock: clock, log: log, observer: observer}
 }
 
@@ -100,7 +101,7 @@
 	for {
 		data, err := reader.Next()
 		if err != nil {
-			return attemptResult{}, e.lostError(ctx)
+			return attemptResult{}, e.lostError(ctx, err)
 		}
 		if string(data) == doneMarker {
 			return result, nil
@@ -190,20 +191,20 @@
 	}
 	if isDialError(err) {
 		e.setReady(false)
-		return attemptError{reason: amrreason.EngineUnavailable, ran: amrreason.NotRun}
+		return attemptError{reason: amrreason.EngineUnavailable, ran: amrreason.NotRun, cause: err}
 	}
-	return e.lostError(ctx)
+	return e.lostError(ctx, err)
 }
 
-// lostError returns the error for a request whose connection broke, and marks the
+// lostError returns the error for a request whose connection broke by err, and marks the
 // engine as not ready until the next successful poll. If ctx is done, lostError
 // returns its error.
-func (e *engine) lostError(ctx context.Context) error {
+func (e *engine) lostError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	e.setReady(false)
-	return attemptError{reason: amrreason.EngineLost, ran: amrreason.RunUnknown}
+	return attemptError{reason: amrreason.EngineLost, ran: amrreason.RunUnknown, cause: err}
 }
 
 // setReady sets whether the engine is ready, and passes the state to the observer.
--- a/sidecar/amrsidecar/service.go
+++ b/sidecar/amrsidecar/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"amaranthreach.example/core/amrgate"
+	"amaranthreach.example/core/amrhttp"
 	"amaranthreach.example/core/amrreason"
 )
 
@@ -35,14 +36,14 @@
 func newService(url string) *service {
 	return &service{
 		url: url,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: amrhttp.NewRoundTripper(&http.Transport{
 			MaxIdleConnsPerHost: serviceBatchLimit,
 			DisableCompression:  true,
-		}},
-		singleUse: &http.Client{Transport: &http.Transport{
+		})},
+		singleUse: &http.Client{Transport: amrhttp.NewRoundTripper(&http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
-		}},
+		})},
 	}
 }
 
@@ -74,9 +75,9 @@
 // serviceError returns the attemptError for a call without a response.
 func serviceError(err error) error {
 	if isDialError(err) {
-		return attemptError{reason: amrreason.EngineUnavailable, ran: amrreason.NotRun}
+		return attemptError{reason: amrreason.EngineUnavailable, ran: amrreason.NotRun, cause: err}
 	}
-	return attemptError{reason: amrreason.EngineLost, ran: amrreason.RunUnknown}
+	return attemptError{reason: amrreason.EngineLost, ran: amrreason.RunUnknown, cause: err}
 }
 
 // relayBody relays the body in chunks of at most serviceChunkBytes.
@@ -99,7 +100,7 @@
 			return nil
 		}
 		if err != nil {
-			return attemptError{reason: amrreason.EngineLost, ran: amrreason.DidRun}
+			return attemptError{reason: amrreason.EngineLost, ran: amrreason.DidRun, cause: err}
 		}
 	}
 }
