Read answers to the routers' own calls to their end

What callers saw: nothing was reported; found by TestControlAnswers.

Cause: json.Decoder stops after a value and never meets the end of the body, which alone tells whether an answer is whole.

Change: amrhttp.DecodeJSON reads a body to its end before it decodes it, and limits its length. All clients that decode JSON use it. The client of the platform's services read whole bodies before.

--- a/core/amrpreview/http.go
+++ b/core/amrpreview/http.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"amaranthreach.example/core/amrhttp"
 )
 
 // Path is the path at which routers answer.
@@ -61,7 +63,7 @@
 		return Answer{}, fmt.Errorf("the router answers with status %d: %s; name the metrics address of an amr-direct router", response.StatusCode, strings.TrimSpace(string(text)))
 	}
 	var a Answer
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&a); err != nil {
+	if err := amrhttp.DecodeJSON(response.Body, maxAnswerBytes, &a); err != nil {
 		return Answer{}, fmt.Errorf("the answer of the router cannot be read: %w", err)
 	}
 	return a, nil
--- a/core/amrreplica/wire.go
+++ b/core/amrreplica/wire.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthreach.example/core/amrfollow"
+	"amaranthreach.example/core/amrhttp"
 )
 
 // PathPrefix is the path prefix under which routers serve their copies of tables,
@@ -58,6 +59,9 @@
 	return out
 }
 
+// maxCopyBytes is the maximum length of the body of a response.
+const maxCopyBytes = 64 << 20
+
 // response is the decoded response of another router.
 type response struct {
 	connected bool // Whether that router is in touch with the table.
@@ -71,7 +75,7 @@
 		return response{}, err
 	}
 	var rows []rowWire
-	if err := json.NewDecoder(r.Body).Decode(&rows); err != nil {
+	if err := amrhttp.DecodeJSON(r.Body, maxCopyBytes, &rows); err != nil {
 		return response{}, err
 	}
 	batch := amrfollow.Batch{
--- a/sidecar/amrsidecar/cache.go
+++ b/sidecar/amrsidecar/cache.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"amaranthreach.example/core/amrcache"
+	"amaranthreach.example/core/amrhttp"
 	"amaranthreach.example/core/amrprompt"
 )
 
@@ -83,7 +82,7 @@
 		return cacheEvents{}, errBadStatus
 	}
 	var reply cacheEvents
-	err = json.NewDecoder(io.LimitReader(response.Body, maxEventsBytes)).Decode(&reply)
+	err = amrhttp.DecodeJSON(response.Body, maxEventsBytes, &reply)
 	return reply, err
 }
 
--- a/sidecar/amrsidecar/engine.go
+++ b/sidecar/amrsidecar/engine.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -292,6 +291,6 @@
 		return engineStatus{}, errBadStatus
 	}
 	var status engineStatus
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status)
+	err = amrhttp.DecodeJSON(response.Body, maxStatusBytes, &status)
 	return status, err
 }
