Fault soak: its proxies pass the reset of a target on

The proxies between routers and servers had the fault of the routers: while a long body was sent, the write took the reset of the target, the read saw an ordinary end, and the proxy ended the connection in order. A router behind it could not have known.

TCPConn is exported for that. A proxy can also have small socket buffers, so that a body of some megabytes is still being sent when a server responds early; otherwise the buffers of two connections take it.

--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -32,7 +32,7 @@
 
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
-	*tcpConn
+	*TCPConn
 	transport *Transport
 	address   string
 	responses *responseReader
@@ -81,10 +81,10 @@
 	used := c.used
 	c.used = true
 	if err := c.prepareFor(len(r.Body)); err != nil {
-		c.reset()
+		c.Reset()
 		return nil, NotSent.Wrap(err, "cannot set the options of the connection to %s", c.address)
 	}
-	c.stop = context.AfterFunc(ctx, c.reset)
+	c.stop = context.AfterFunc(ctx, c.Reset)
 	if err := c.writeRequest(r); err != nil {
 		c.abort()
 		return nil, Broken.Wrap(err, "cannot send the whole request to %s; it may have run", c.address)
@@ -196,7 +196,7 @@
 // abort closes the connection and ends its dependency on the request's context.
 func (c *conn) abort() {
 	c.stop()
-	c.reset()
+	c.Reset()
 }
 
 // release returns the connection to the transport for reuse. It closes the
@@ -204,7 +204,7 @@
 // response.
 func (c *conn) release(limit time.Duration) {
 	if !c.stop() || !c.responses.isEmpty() {
-		c.reset()
+		c.Reset()
 		return
 	}
 	c.idleSince = c.transport.clock.Now()
--- a/core/amrhttp/round_tripper.go
+++ b/core/amrhttp/round_tripper.go
@@ -29,10 +29,10 @@
 			return nil, err
 		}
 		switch c := nc.(type) {
-		case *tcpConn:
-			return &checkedConn{tcpConn: c}, nil
+		case *TCPConn:
+			return &checkedConn{TCPConn: c}, nil
 		case *net.TCPConn:
-			return &checkedConn{tcpConn: newTCPConn(c)}, nil
+			return &checkedConn{TCPConn: NewTCPConn(c)}, nil
 		}
 		return nc, nil
 	}
@@ -71,7 +71,7 @@
 
 // checkedConn is a connection that checks the heads of the responses which are read from it.
 type checkedConn struct {
-	*tcpConn
+	*TCPConn
 
 	headMu  sync.Mutex
 	scanner *headScanner // nil unless a head is expected.
@@ -88,7 +88,7 @@
 // Read reads from the connection. It returns an error, and none of the bytes, if a head is not
 // valid.
 func (c *checkedConn) Read(p []byte) (int, error) {
-	n, err := c.tcpConn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
 	if c.invalid == nil {
--- a/core/amrhttp/tcp_conn.go
+++ b/core/amrhttp/tcp_conn.go
@@ -14,13 +14,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// tcpConn is a TCP connection whose Read returns io.EOF only if the peer has ended its
+// TCPConn is a TCP connection whose Read returns io.EOF only if the peer has ended its
 // direction of the connection in order.
 //
 // The kernel reports the failure of a connection, such as a reset, to one call only. If
 // that is a Write, the next Read of the socket sees an ordinary end. Read therefore looks
 // at the state of the socket, and at the result of the Write, before it reports an end.
-type tcpConn struct {
+//
+// Create it with NewTCPConn.
+type TCPConn struct {
 	net.Conn
 	tcp *net.TCPConn // The same connection.
 
@@ -30,15 +32,16 @@
 	failure  error      // The failure that a call has reported; nil if none has.
 }
 
-func newTCPConn(tcp *net.TCPConn) *tcpConn {
-	c := &tcpConn{Conn: tcp, tcp: tcp}
+// NewTCPConn returns a TCPConn for the connection, which must not be used directly any more.
+func NewTCPConn(tcp *net.TCPConn) *TCPConn {
+	c := &TCPConn{Conn: tcp, tcp: tcp}
 	c.writable = sync.NewCond(&c.mu)
 	return c
 }
 
 // Read reads from the connection. It returns io.EOF at the end of what the peer sends, and
 // another error if the connection failed before that end.
-func (c *tcpConn) Read(p []byte) (int, error) {
+func (c *TCPConn) Read(p []byte) (int, error) {
 	n, err := c.tcp.Read(p)
 	switch {
 	case err == nil:
@@ -53,7 +56,7 @@
 }
 
 // Write writes to the connection.
-func (c *tcpConn) Write(p []byte) (int, error) {
+func (c *TCPConn) Write(p []byte) (int, error) {
 	c.beginWrite()
 	n, err := c.tcp.Write(p)
 	c.endWrite(err)
@@ -61,27 +64,32 @@
 }
 
 // writeBuffers writes the buffers to the connection with as few calls as possible.
-func (c *tcpConn) writeBuffers(buffers net.Buffers) error {
+func (c *TCPConn) writeBuffers(buffers net.Buffers) error {
 	c.beginWrite()
 	_, err := buffers.WriteTo(c.tcp)
 	c.endWrite(err)
 	return err
 }
 
-// reset closes the connection and discards the bytes that the peer has not received, so
+// CloseWrite ends the direction to the peer.
+func (c *TCPConn) CloseWrite() error {
+	return c.tcp.CloseWrite()
+}
+
+// Reset closes the connection and discards the bytes that the peer has not received, so
 // that they cannot take effect later.
-func (c *tcpConn) reset() {
+func (c *TCPConn) Reset() {
 	_ = c.tcp.SetLinger(0) // Returns an error only if the connection is closed.
 	_ = c.tcp.Close()      // The same.
 }
 
-func (c *tcpConn) beginWrite() {
+func (c *TCPConn) beginWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writes++
 }
 
-func (c *tcpConn) endWrite(err error) {
+func (c *TCPConn) endWrite(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -94,7 +102,7 @@
 
 // recordFailure keeps the error of a call if it tells that the connection has failed before
 // the peer ended its direction in order. The caller must hold c.mu.
-func (c *tcpConn) recordFailure(err error) {
+func (c *TCPConn) recordFailure(err error) {
 	switch {
 	case c.failure != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
 	case errors.Is(err, syscall.EPIPE):
@@ -107,7 +115,7 @@
 
 // endError returns the error for a socket that has no more bytes to read: io.EOF if the peer
 // has ended its direction, or the failure of the connection.
-func (c *tcpConn) endError() error {
+func (c *TCPConn) endError() error {
 	if c.isOpen() {
 		return io.EOF // Writes may go on, so that they must not be waited for.
 	}
@@ -122,12 +130,12 @@
 	return io.EOF
 }
 
-// tcpClosed is the state of a socket after a failure. As long as only the peer has ended its
-// direction, the socket has another state.
+// tcpClosed is the state of a socket after a failure, or when both peers have ended their
+// directions. As long as only the peer has, the socket has another state.
 const tcpClosed = unix.BPF_TCP_CLOSE
 
 // isOpen reports whether the connection has not failed and was not closed.
-func (c *tcpConn) isOpen() bool {
+func (c *TCPConn) isOpen() bool {
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
@@ -170,7 +178,7 @@
 	return c, nil
 }
 
-func (d *Dialer) dial(ctx context.Context, network, address string) (*tcpConn, error) {
+func (d *Dialer) dial(ctx context.Context, network, address string) (*TCPConn, error) {
 	nc, err := d.dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -180,5 +188,5 @@
 		_ = nc.Close() // The connection is not used.
 		return nil, fmt.Errorf("the network %s is not TCP", network)
 	}
-	return newTCPConn(tcp), nil
+	return NewTCPConn(tcp), nil
 }
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -196,14 +196,14 @@
 		if c.reusable(t.clock.Now(), fresh) {
 			return c, nil
 		}
-		c.reset()
+		c.Reset()
 	}
 	tcp, err := t.dialer.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "cannot connect to %s; try another backend server", address)
 	}
 	return &conn{
-		tcpConn: tcp, transport: t, address: address, responses: newResponseReader(tcp),
+		TCPConn: tcp, transport: t, address: address, responses: newResponseReader(tcp),
 		idleSince: t.clock.Now(), reuseLimit: idleLimit, unackedTimeout: unackedTimeout,
 	}, nil
 }
@@ -232,7 +232,7 @@
 		t.sweep(now)
 	}
 	if len(t.idle[c.address]) >= maxIdle || t.idleTotal >= maxIdleTotal {
-		c.reset()
+		c.Reset()
 		return
 	}
 	t.setIdle(c.address, append(t.idle[c.address], c))
@@ -247,7 +247,7 @@
 			if c.reusable(now, false) {
 				return false
 			}
-			c.reset()
+			c.Reset()
 			return true
 		}))
 	}
--- a/standin/amrsoak/tcpproxy.go
+++ b/standin/amrsoak/tcpproxy.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"amaranthreach.example/core/amrhttp"
 	"amaranthreach.example/standin/amrpace"
 	"amaranthreach.example/standin/amrport"
 )
@@ -19,6 +21,9 @@
 // one write.
 const bufferBytes = 16 << 10
 
+// smallBufferBytes is the size of the socket buffers of a TCPProxy with small buffers.
+const smallBufferBytes = 32 << 10
+
 // ProxyFaults describes the faults of a TCPProxy. With the zero value, all bytes
 // are forwarded immediately.
 type ProxyFaults struct {
@@ -38,6 +43,8 @@
 	clock    clockwork.Clock
 	group    errgroup.Group
 
+	smallBuffers atomic.Bool // Sockets hold few bytes on the way to the target.
+
 	mu      sync.Mutex
 	faults  ProxyFaults
 	changed chan struct{}         // Closed and replaced when the faults change.
@@ -72,6 +79,12 @@
 	p.changed = make(chan struct{})
 }
 
+// SetSmallBuffers lets the sockets of new connections hold few bytes on the way to the target,
+// so that a sender soon waits for a target that does not read.
+func (p *TCPProxy) SetSmallBuffers() {
+	p.smallBuffers.Store(true)
+}
+
 // Reset resets all open connections.
 func (p *TCPProxy) Reset() {
 	p.mu.Lock()
@@ -111,11 +124,17 @@
 		reset(inbound)
 		return
 	}
-	outbound, err := net.Dial("tcp", p.target)
+	dialed, err := net.Dial("tcp", p.target)
 	if err != nil {
 		reset(inbound) // The host of the target would also do so if no process listens there.
 		return
 	}
+	if p.smallBuffers.Load() {
+		_ = inbound.(*net.TCPConn).SetReadBuffer(smallBufferBytes) // Without it, the sender waits later.
+		_ = dialed.(*net.TCPConn).SetWriteBuffer(smallBufferBytes) // The same.
+	}
+	// A reset by the target must not become an ordinary end.
+	outbound := amrhttp.NewTCPConn(dialed.(*net.TCPConn))
 	if !p.track(inbound, outbound) {
 		reset(inbound)
 		reset(outbound)
@@ -155,7 +174,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_ = to.(*net.TCPConn).CloseWrite() // A failure is detected in the other direction.
+			_ = to.(interface{ CloseWrite() error }).CloseWrite() // A failure is detected in the other direction.
 			return
 		}
 		if err != nil {
@@ -225,6 +244,11 @@
 
 // reset closes the connection by a TCP reset.
 func reset(conn net.Conn) {
-	_ = conn.(*net.TCPConn).SetLinger(0)
-	_ = conn.Close()
+	switch c := conn.(type) {
+	case *amrhttp.TCPConn:
+		c.Reset()
+	case *net.TCPConn:
+		_ = c.SetLinger(0) // Returns an error only if the connection is closed.
+		_ = c.Close()      // The same.
+	}
 }
--- a/standin/amrsoak/tcpproxy_test.go
+++ b/standin/amrsoak/tcpproxy_test.go
@@ -13,9 +13,48 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"amaranthreach.example/core/amrhttp"
 	"amaranthreach.example/standin/amrport"
 )
 
+// TestTCPProxyPassesResetsOn checks that a connection which the target resets while bytes are
+// sent to it does not seem to end in order.
+func TestTCPProxyPassesResetsOn(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewRealClock()
+	target, err := amrport.Listen()
+	is.NoErr(err)
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return nil //nolint:nilerr // The listener was closed at the end of the test.
+			}
+			_, _ = conn.Write([]byte("part")) // The client detects an error.
+			clock.Sleep(5 * time.Millisecond)
+			reset(conn)
+		}
+	})
+	proxy, err := NewTCPProxy(clock, target.Addr().String())
+	is.NoErr(err)
+	for range 20 {
+		dialed, err := net.Dial("tcp", proxy.Address())
+		is.NoErr(err)
+		conn := amrhttp.NewTCPConn(dialed.(*net.TCPConn))
+		group.Go(func() error {
+			_, _ = conn.Write(make([]byte, 4<<20)) // Fails because of the reset.
+			return nil
+		})
+		_, err = io.ReadAll(conn)
+		is.True(err != nil)
+		conn.Reset()
+	}
+	is.NoErr(target.Close())
+	is.NoErr(proxy.Close())
+	is.NoErr(group.Wait())
+}
+
 // TestTCPProxy checks the effect of each fault, and of a reset, on a
 // connection to an echo server.
 func TestTCPProxy(t *testing.T) {
