Fault soak: servers send answers that are none

A kind of fault, server-broken: early answers that are reset, the status 000, invalid names of fields, and the opposite (early whole answers, interim responses, odd fields). A twentieth of the requests have bodies of 4 MB then. Early answers go only to requests with long bodies, as shorter ones have been sent before the server answers.

--- a/standin/amrsite/raw.go
+++ b/standin/amrsite/raw.go
@@ -31,11 +31,25 @@
 // maxReadOn is the longest time for which a server reads the request after its response.
 const maxReadOn = 5 * time.Second
 
-// respondsEarly reports whether the next response is sent before the request has been read.
-func (s *Server) respondsEarly() bool {
+// minEarlyBytes is the length of a request body from which on a server may respond before it
+// has read the request. A shorter one would have been sent completely.
+const minEarlyBytes = 64 << 10
+
+// isEarly reports whether the response of the fault is sent before the request has been read.
+func (f Fault) isEarly() bool {
+	return f == FaultEarlyReset || f == FaultEarlyWhole
+}
+
+// appliesTo reports whether requests like this one may have the fault.
+func (f Fault) appliesTo(r *http.Request) bool {
+	return !f.isEarly() || r.ContentLength >= minEarlyBytes
+}
+
+// respondsEarly reports whether the response to the request is sent before it has been read.
+func (s *Server) respondsEarly(r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faultsLeft != 0 && (s.fault == FaultEarlyReset || s.fault == FaultEarlyWhole)
+	return s.faultsLeft != 0 && s.fault.isEarly() && s.fault.appliesTo(r)
 }
 
 // sendRaw sends the response of a fault that net/http would not send. It reports whether the
--- a/standin/amrsite/server.go
+++ b/standin/amrsite/server.go
@@ -327,7 +327,7 @@
 
 // serve runs a request, or simulates the fault that applies to it.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if !s.respondsEarly() {
+	if !s.respondsEarly(r) {
 		_, _ = io.Copy(io.Discard, r.Body) // An error of the body has no effect on the response.
 	}
 	if !s.awaitBegin(r) {
@@ -413,7 +413,7 @@
 	if want := r.Header.Get("Amaranthreach-Expect-Version"); want != "" && want != strconv.Itoa(s.version) {
 		return http.StatusMisdirectedRequest, FaultNone, 0
 	}
-	if s.faultsLeft != 0 {
+	if s.faultsLeft != 0 && s.fault.appliesTo(r) {
 		fault = s.fault
 		s.faultsLeft--
 	}
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -223,6 +223,8 @@
 		s.renewEngine(b, f.Length)
 	case engineReplaced:
 		s.replaceEngine(b, f.Length)
+	case serverBroken:
+		s.failRequests(b, brokenFaults[int(f.Length.Milliseconds())%len(brokenFaults)], f)
 	case serverNoLength:
 		s.failRequests(b, noLengthFaults[f.FaultyRequests%len(noLengthFaults)], f)
 	default:
--- a/standin/amrsoak/faultkind.go
+++ b/standin/amrsoak/faultkind.go
@@ -49,6 +49,7 @@
 	latePrompts         faultKind = "late-prompts"         // Streams are sent that wait for seconds at an engine before they begin.
 	weightsSeries       faultKind = "weights-series"       // New weights are named several times, and each time the router that ordered last is killed, cut off or paused.
 	powerLost           faultKind = "power-lost"           // All routers, servers and the store lose power and return, in any order; servers that are back may end connections for a while.
+	serverBroken        faultKind = "server-broken"        // A backend server sends responses that are no answers, or that only look so; some of the requests have long bodies.
 	rollRouters         faultKind = "rolling-restart"      // All routers are stopped by SIGTERM and started again, one after the other; new weights are named when the last one got the signal.
 )
 
@@ -63,6 +64,7 @@
 	unevenEngines, slowCallers, fullMemory,
 	engineRenewed, engineReplaced, routerCut, rollRouters, splitAnswers,
 	latePrompts, weightsSeries, powerLost,
+	serverBroken,
 }
 
 // kindsNamed returns the kinds with the names, in the order of faultKinds. It returns
--- a/standin/amrsoak/load.go
+++ b/standin/amrsoak/load.go
@@ -24,6 +24,12 @@
 	anyRouterShare    = 0.1                    // Share of the requests that go to any router, whether it is ready or not.
 
 	revocableShare = 0.2 // Share of the requests that use revocableKey.
+
+	// uploadShare is the share of the requests with a body of uploadBytes, if servers
+	// respond before they have read requests. The body is longer than the buffers between a
+	// router and a server.
+	uploadShare = 0.05
+	uploadBytes = 4 << 20
 )
 
 // routes are the routes of the requests, unless the soak test names others.
@@ -61,6 +67,9 @@
 	if request.Route != amrsite.IdempotentRoute { // All of its requests are the same popular one.
 		request.Content = "&" + id
 	}
+	if s.deployment.Uploads && random.Float64() < uploadShare {
+		request.UploadBytes = uploadBytes
+	}
 	return s.pickRouter(random), request
 }
 
--- a/standin/amrsoak/serverfault.go
+++ b/standin/amrsoak/serverfault.go
@@ -17,6 +17,13 @@
 // noLengthFaults are the faults with responses that end with their connection.
 var noLengthFaults = []amrsite.Fault{amrsite.FaultNoLength, amrsite.FaultNoLengthTruncate}
 
+// brokenFaults are the faults with responses that are no answers by HTTP, and some with whole
+// answers that look unusual.
+var brokenFaults = []amrsite.Fault{
+	amrsite.FaultEarlyReset, amrsite.FaultInvalidStatus, amrsite.FaultFieldName, amrsite.FaultLengthName,
+	amrsite.FaultEarlyReset, amrsite.FaultEarlyWhole, amrsite.FaultInterim, amrsite.FaultOddFields,
+}
+
 // endlessFaults are the faults with responses that do not end.
 var endlessFaults = []amrsite.Fault{amrsite.FaultEndlessHead, amrsite.FaultEndlessBody}
 
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -110,6 +110,7 @@
 type Deployment struct {
 	Settings    map[string]string // Settings of the routers by name, which replace those of routerSettings; an empty value leaves one out.
 	WeightsLoad time.Duration     // Time that an engine takes to load weights; 0 for defaultWeightsLoad.
+	Uploads     bool              // Some requests of the load have long bodies.
 }
 
 // defaultWeightsLoad is the time that an engine takes to load weights by default.
@@ -165,6 +166,9 @@
 			return err
 		}
 	}
+	if s.deployment.Uploads {
+		s.store.SetMaxBodyBytes(uploadBytes)
+	}
 	s.writeRecords(permanentKey, revocableKey)
 	s.store.PublishVersion(modelName, s.weightsVersion)
 	for i := range size.Routers {
@@ -222,6 +226,9 @@
 	if err != nil {
 		return err
 	}
+	if s.deployment.Uploads {
+		proxy.SetSmallBuffers()
+	}
 	backend.ObserveRejections(func(id, retryAfter string) { s.checker.checkRejection(name, id, retryAfter) })
 	if modelName != "" {
 		backend.SetMemory(amrsite.EngineMemory)
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -90,6 +90,7 @@
 	if s.TimeLimitFactor > 0 {
 		limits = limits.scaled(s.TimeLimitFactor)
 	}
+	s.Deployment.Uploads = s.Deployment.Uploads || slices.Contains(kinds, serverBroken)
 	checker := newChecker(clock, limits, &disturbances{}, streamEvents)
 	site, err := startSite(ctx, clock, checker, s.Program, s.Dir, s.Size, s.Deployment)
 	if err != nil {
--- a/standin/amrsoak/soak_test.go
+++ b/standin/amrsoak/soak_test.go
@@ -116,6 +116,17 @@
 	is.True(len(result.Returns) > 0)
 }
 
+// TestSoakBrokenAnswers guards against responses of servers that reach callers as answers
+// although they are none, while routers are killed and paused and links are reset.
+func TestSoakBrokenAnswers(t *testing.T) {
+	t.Parallel()
+	result := runSoak(t, Soak{
+		Seed: 47001, Length: 8 * time.Second, Size: Size{Routers: 2, Engines: 3, Services: 3},
+		FaultNames: []string{string(serverBroken), string(serverNoLength), string(serverErrors), string(serverLink), string(pauseRouter), string(killRouter)},
+	}, "complete answers", "events in order", "at most once", "refused means not run", "allowed requests")
+	is.New(t).True(result.Answered > 0)
+}
+
 // TestDeploymentSettings checks that settings of a deployment replace, add and leave out those of
 // the base.
 func TestDeploymentSettings(t *testing.T) {
