--- a/core/amrhttp/endless_test.go
+++ b/core/amrhttp/endless_test.go
@@ -44,33 +44,13 @@
 // serveEndless sends the response on each connection until the client closes it.
 func serveEndless(t *testing.T, e endless) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	repeated := []byte(strings.Repeat(e.repeated, 1+4096/len(e.repeated)))
-	var group errgroup.Group
-	group.Go(func() error {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return nil //nolint:nilerr // The listener was closed at the end of the test.
-			}
-			group.Go(func() error {
-				defer conn.Close()
-				_, err := io.WriteString(conn, e.beginning)
-				for err == nil {
-					_, err = conn.Write(repeated)
-				}
-				return nil
-			})
+	return serveConns(t, func(conn net.Conn) {
+		_, err := io.WriteString(conn, e.beginning)
+		for err == nil {
+			_, err = conn.Write(repeated)
 		}
 	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		_ = group.Wait()
-	})
-	return listener.Addr().String()
 }
 
 // sendEndless sends a request and reads the response. It returns the error.
