--- a/core/amrhttp/conn.go
+++ b/core/amrhttp/conn.go
@@ -9,8 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -277,23 +275,3 @@
 	c.unackedTimeout = timeout
 	return setUnackedTimeout(raw, timeout)
 }
-
-// controlSocket sets unackedTimeout on a new TCP socket.
-func controlSocket(_ context.Context, network, _ string, raw syscall.RawConn) error {
-	if !strings.HasPrefix(network, "tcp") {
-		return nil
-	}
-	return setUnackedTimeout(raw, unackedTimeout)
-}
-
-// setUnackedTimeout sets TCP_USER_TIMEOUT; 0 selects the default of the system.
-func setUnackedTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
-}
--- a/core/amrhttp/head.go
+++ b/core/amrhttp/head.go
@@ -84,8 +84,8 @@
 	if !found {
 		return errNoColon
 	}
-	if err := checkFieldName(string(name)); err != nil {
-		return err
+	if !isToken(name) {
+		return nameError(string(name))
 	}
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
@@ -118,23 +118,16 @@
 	return nil
 }
 
-// checkFieldName returns an error unless the name is a token.
-func checkFieldName(name string) error {
-	valid := name != ""
-	for i := range len(name) {
-		valid = valid && isTokenByte(name[i])
-	}
-	if !valid {
-		return fmt.Errorf("a field of the response has the invalid name %.40q", name)
-	}
-	return nil
+// nameError returns the error for a field with a name that is no token.
+func nameError(name string) error {
+	return fmt.Errorf("a field of the response has the invalid name %.40q", name)
 }
 
 // checkNames returns an error unless the names of all fields are tokens.
 func checkNames(fields http.Header) error {
 	for name := range fields {
-		if err := checkFieldName(name); err != nil {
-			return err
+		if !isToken(name) {
+			return nameError(name)
 		}
 	}
 	return nil
@@ -151,6 +144,16 @@
 	return nil
 }
 
+// isToken reports whether the text is a token, as the names of fields are.
+func isToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if !isTokenByte(text[i]) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // isTokenByte reports whether tokens may contain the byte.
 func isTokenByte(b byte) bool {
 	return isDigit(b) || 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
--- a/core/amrhttp/tcp_conn.go
+++ b/core/amrhttp/tcp_conn.go
@@ -1,7 +1,6 @@
 package amrhttp
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,7 +8,6 @@
 	"os"
 	"sync"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -147,46 +145,3 @@
 	})
 	return err == nil && open
 }
-
-// Dialer establishes TCP connections that detect within seconds that the peer no longer
-// responds, and that tell a failure from an ordinary end whether it is met while reading or
-// while writing. Create it with NewDialer.
-type Dialer struct {
-	dialer net.Dialer
-}
-
-// NewDialer returns a Dialer. The timeout applies to establishing a connection.
-func NewDialer(timeout time.Duration) *Dialer {
-	return &Dialer{net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     probeInterval,
-			Interval: probeInterval,
-			Count:    probeCount,
-		},
-		ControlContext: controlSocket,
-	}}
-}
-
-// DialContext connects to the address. The network must be one of TCP.
-func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.dial(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return c, nil
-}
-
-func (d *Dialer) dial(ctx context.Context, network, address string) (*TCPConn, error) {
-	nc, err := d.dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		_ = nc.Close() // The connection is not used.
-		return nil, fmt.Errorf("the network %s is not TCP", network)
-	}
-	return NewTCPConn(tcp), nil
-}
--- a/core/amrhttp/transport.go
+++ b/core/amrhttp/transport.go
@@ -3,8 +3,10 @@
 //
 // Unlike the transport of net/http, it never retries a request by itself, its
 // errors tell whether a request may have reached the server, it discards
-// responses that belong to other requests, and it limits the memory that a
-// server can make a connection use.
+// responses that belong to other requests, it rejects responses that are not
+// valid by RFC 9112, and it limits the memory that a server can make a connection
+// use. NewRoundTripper returns a transport of net/http that rejects such responses
+// too.
 package amrhttp
 
 import (
