--- a/standin/amrsite/raw.go
+++ b/standin/amrsite/raw.go
@@ -111,8 +111,9 @@
 
 // partialBody returns the beginning of the same body: of a stream, whole events.
 func (s *Server) partialBody(r *http.Request) string {
+	n, _ := strconv.Atoi(r.URL.Query().Get(floodQuery)) // 0 if it is missing.
 	if s.Model == "" {
-		return serviceBody
+		return serviceBody + strings.Repeat("x", n*floodEventBytes)
 	}
 	whole := s.wholeBody(r)
 	return whole[:strings.Index(whole, "\n\n")+len("\n\n")]
--- a/standin/amrsite/request.go
+++ b/standin/amrsite/request.go
@@ -45,7 +45,7 @@
 	LastEventID string        // ID of the last event of that stream that the client got.
 	Tokens      string        // "PROMPT,OUTPUT" tokens; empty for defaultTokens.
 	BeginsAfter time.Duration // Time for which it waits at an engine before it begins.
-	Flood       int           // If not 0, the number of large events that an engine sends at once in place of its stream.
+	Flood       int           // If not 0, the number of large events that an engine sends at once in place of its stream, or of pieces of that size by which a broken response of a service is longer.
 	UploadBytes int           // Length of the body; 0 for a short one.
 }
 
