--- a/core/amrhttp/head.go
+++ b/core/amrhttp/head.go
@@ -19,7 +19,7 @@
 	errStatusLine = errors.New("the response begins with no status line")
 	errFirstField = errors.New("the first field of the response begins with white space")
 	errNoColon    = errors.New("a line in the header of the response has no colon")
-	errFraming    = errors.New("the response has both a length and an encoding, or one of them where it must not")
+	errFraming    = errors.New("the response has both a length and an encoding, or one that it must not have")
 	errSwitched   = errors.New("the server switched to a protocol that was not asked for")
 )
 
