--- a/standin/amrsite/raw.go
+++ b/standin/amrsite/raw.go
@@ -12,7 +12,8 @@
 // rawResponse is a response that is sent byte for byte, so that it may break the rules of
 // HTTP.
 type rawResponse struct {
-	preceding string // Precedes the response.
+	enclosing string // Status line of a response that has the same header, and this one as its body; empty for none.
+	preceding string // Interim responses before the response.
 	fields    string // Lines of the header beside those that identify the response.
 	body      string
 	end       func(*net.TCPConn) // Ends the connection.
@@ -21,8 +22,11 @@
 // okLine is the status line of successful responses.
 const okLine = "HTTP/1.1 200 OK\r\n"
 
+// OddName is a name of a field that is unusual and valid.
+const OddName = "!#$%&'*+-.^_`|~9"
+
 // oddFields are lines of a header that are unusual and valid.
-const oddFields = "!#$%&'*+-.^_`|~9: x\r\nx:\r\nX-Odd:\t a\xe4\tb \r\nx-folded: a\r\n b\r\n"
+const oddFields = OddName + ": x\r\nx:\r\nX-Odd:\t a\xe4\tb \r\nx-folded: a\r\n b\r\n"
 
 // earlyPause is the time between a response that breaks off and the reset of its
 // connection, in which the router receives the response.
@@ -55,10 +59,21 @@
 // sendRaw sends the response of a fault that net/http would not send. It reports whether the
 // fault is one of these.
 func (s *Server) sendRaw(w http.ResponseWriter, r *http.Request, fault Fault) bool {
+	response, isRaw := s.rawResponseTo(r, fault)
+	if !isRaw {
+		return false
+	}
 	if s.Model != "" {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
-	response := rawResponse{body: s.wholeBody(r), end: closeInOrder}
+	response.send(w)
+	return true
+}
+
+// rawResponseTo returns the response of a fault to the request, and whether the fault is one
+// that net/http would not send.
+func (s *Server) rawResponseTo(r *http.Request, fault Fault) (response rawResponse, isRaw bool) {
+	response = rawResponse{body: s.wholeBody(r), end: closeInOrder}
 	switch fault {
 	case FaultEarlyReset:
 		response.body = s.partialBody(r)
@@ -66,7 +81,7 @@
 	case FaultEarlyWhole:
 		response.end = s.readOn
 	case FaultInvalidStatus:
-		response.preceding = "HTTP/1.1 000 Error\r\n" + headerText(w.Header()) + "\r\n"
+		response.enclosing = "HTTP/1.1 000 Error\r\n"
 	case FaultFieldName:
 		response.fields = "X Line: x\r\n"
 	case FaultLengthName:
@@ -77,10 +92,9 @@
 	case FaultInterim:
 		response.preceding = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n"
 	default:
-		return false
+		return rawResponse{}, false
 	}
-	response.send(w)
-	return true
+	return response, true
 }
 
 // send sends the response with the header of w.
@@ -89,7 +103,12 @@
 	if err != nil {
 		panic(err) // The connections of an HTTP/1.1 server can always be hijacked.
 	}
-	_, _ = io.WriteString(conn, r.preceding+okLine+headerText(w.Header())+r.fields+"\r\n"+r.body) // The client detects an error.
+	header := headerText(w.Header())
+	text := r.preceding + okLine + header + r.fields + "\r\n" + r.body
+	if r.enclosing != "" {
+		text = r.enclosing + header + "\r\n" + text
+	}
+	_, _ = io.WriteString(conn, text) // The client detects an error.
 	r.end(conn.(*net.TCPConn))
 }
 
