Show two claims: connections that are used again, a sidecar's log line

TestRoundTripper said that valid responses come on the same connection, and an invalid one on a connection in use again, and counted no connections.

--- a/core/amrhttp/round_tripper_test.go
+++ b/core/amrhttp/round_tripper_test.go
@@ -36,6 +36,9 @@
 				out.WriteString(result + "\n")
 			}
 			client.CloseIdleConnections()
+			if d.HasArg("conns") {
+				fmt.Fprintf(&out, "connections: %d\n", s.conns.Load())
+			}
 		}
 		if d.HasArg("times") {
 			return fmt.Sprintf("complete: %d of %d\n", complete, times)
--- a/sidecar/amrsidecar/floor_test.go
+++ b/sidecar/amrsidecar/floor_test.go
@@ -22,6 +22,12 @@
 // startSidecar runs a sidecar whose backend server is a plain service that accepts no
 // connections. It returns a client that is connected to the sidecar.
 func startSidecar(t *testing.T, clock clockwork.Clock) amrgate.DRPCGateClient {
+	t.Helper()
+	return startSidecarOf(t, clock, "http://127.0.0.1:1", slog.New(slog.DiscardHandler))
+}
+
+// startSidecarOf does the same for the plain service at the URL, with the logger.
+func startSidecarOf(t *testing.T, clock clockwork.Clock, url string, log *slog.Logger) amrgate.DRPCGateClient {
 	t.Helper()
 	is := is.New(t)
 	listeners := amrsidecar.Listeners{}
@@ -33,9 +39,9 @@
 	settings := amrsidecar.DefaultSettings()
 	settings.Name = "b1"
 	settings.BackendType = amrsidecar.BackendService
-	settings.BackendURL = "http://127.0.0.1:1"
+	settings.BackendURL = url
 	settings.StopGrace = time.Second
-	sidecar := amrsidecar.New(settings, amrsidecar.WithClock(clock), amrsidecar.WithListeners(listeners), amrsidecar.WithLogger(slog.New(slog.DiscardHandler)))
+	sidecar := amrsidecar.New(settings, amrsidecar.WithClock(clock), amrsidecar.WithListeners(listeners), amrsidecar.WithLogger(log))
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return sidecar.Run(ctx) })
