Conclude nothing from a missing row of the rollout lease

What callers saw: after all routers had been without power while weights were declared, the model came back slowly.

Cause: a router that started and had seen no note of a holder took that for a sign that nobody had given orders. Where there really was no holder before, it waited all the same as soon as it had read its own row, which named it as a holder: the first third of the engines loaded at once, the others 3 s after the start.

Change: a host knows no orders from before its start, until a note tells them, or until its write has created the first row of a table that was never restored, since nobody can have given orders then.

TestHandoverOfFirstHolder fails before: an engine is allowed at once. The check in TestHandover that no note means no orders said the wrong thing and is replaced by the former; its other checks are unchanged.

--- a/core/amrdirect/handover.go
+++ b/core/amrdirect/handover.go
@@ -101,13 +101,14 @@
 	return orders
 }
 
+// noneBefore records that no host has given orders before now.
+func (h *handover) noneBefore(now time.Time) {
+	h.knownFrom = now.Add(-h.gap)
+}
+
 // allowed reports whether this host may give the engine an order. Orders that
-// another host gave before they were all known are not known. Therefore, if any
-// note has been seen, no engine is allowed until the minimum time has passed
-// since then.
+// another host gave before they were all known are not known. Therefore no engine
+// is allowed until the minimum time has passed since then.
 func (h *handover) allowed(now time.Time, engine string) bool {
-	if h.holder != "" && now.Before(h.knownFrom.Add(h.gap)) {
-		return false
-	}
-	return !now.Before(h.allowedFrom[engine])
+	return !now.Before(h.knownFrom.Add(h.gap)) && !now.Before(h.allowedFrom[engine])
 }
--- a/core/amrdirect/handover_test.go
+++ b/core/amrdirect/handover_test.go
@@ -24,8 +24,6 @@
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	h := newHandover(start, "own", 3*time.Second)
-	is.True(h.allowed(at(0), "e1")) // No host has given an order yet.
-
 	h.observeLease(at(1000), "other", engines("e1", "e2"))
 	is.True(!h.allowed(at(1000), "e3")) // Orders from before the start are not known.
 	is.True(h.allowed(at(3000), "e3"))
@@ -42,3 +40,23 @@
 	h.observeLease(at(9100), "own", engines())
 	is.True(h.allowed(at(9100), "e5")) // Orders of the same host need no time between them.
 }
+
+// TestHandoverOfFirstHolder guards against a router that starts, finds no row of the lease and
+// takes this for a sign that nobody has given orders: the store may have been restored from a
+// copy without the row. The opposite: the first holder of all does not wait, also after it has
+// read its own row.
+func TestHandoverOfFirstHolder(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	h := newHandover(start, "own", 3*time.Second)
+	is.True(!h.allowed(start, "e1"))
+	is.True(!h.allowed(start.Add(2990*time.Millisecond), "e1"))
+	is.True(h.allowed(start.Add(3*time.Second), "e1"))
+
+	first := newHandover(start, "own", 3*time.Second)
+	first.noneBefore(start)
+	is.True(first.allowed(start, "e1"))
+	first.observeLease(start, "own", observedNote{engines: map[string]bool{"e1": true}, knownFrom: start})
+	is.True(first.allowed(start, "e1"))
+	is.True(first.allowed(start, "e2"))
+}
--- a/core/amrdirect/rollout_lease.go
+++ b/core/amrdirect/rollout_lease.go
@@ -110,6 +110,9 @@
 	}
 	r.mu.Lock()
 	r.handover.takeOver(expiry)
+	if txn.Checks[0].Version == 0 && r.lease.Era() <= firstEra {
+		r.handover.noneBefore(r.boot.Now()) // Nobody has held the lease before.
+	}
 	r.announced, r.endedAt = true, time.Time{}
 	row := amrpool.RowPosition{Era: r.lease.Era(), Version: r.lease.Version()}
 	r.queueBegun(row, note)
--- a/core/amrdirect/rollout_waits_test.go
+++ b/core/amrdirect/rollout_waits_test.go
@@ -21,6 +21,7 @@
 
 	r.fleet.SetTargetTime(now.Add(-4*time.Second), "m1", 2)
 	r.handover = newHandover(now, "own", 3*time.Second)
+	r.handover.noneBefore(now)
 	r.handover.wait("e01", now)
 	_, waits = r.waits(now, "m1", []string{"engines"})
 	is.Equal(waits, []string{"e00=turn:4s", "e01=other-order:4s"})
