Register in an empty store without a wait

Cause: since declarations are dated by the versions of rows, a router waits for its first read of the operators' table before it registers. In a new store nothing has been written, so that its version is 0, which counted as not read; all routers waited for 1 s and read all rows without a pause meanwhile. Change: the first response counts, whatever it holds, and a reading of version 0 tells as much as others.

--- a/core/amrdirect/declared_weights_test.go
+++ b/core/amrdirect/declared_weights_test.go
@@ -214,3 +214,23 @@
 		return s.out.String()
 	})
 }
+
+// TestRegistrationInEmptyStore guards against a router that waits for rows of an empty store
+// before it registers, and reads them over and over meanwhile.
+func TestRegistrationInEmptyStore(t *testing.T) {
+	s := newWeightsSite(t)
+	s.store.era, s.store.version = 0, 0
+	clear(s.tables[tableOperator].rows)
+	clear(s.tables[tableServers].rows)
+	s.start("a")
+	defer s.kill()
+	registered := func() bool {
+		rows, _ := s.tables[tableShared].state()
+		return rows == 1
+	}
+	for end := realClock.Now().Add(10 * time.Second); !registered(); realClock.Sleep(time.Millisecond) {
+		if realClock.Now().After(end) {
+			t.Fatal("the router is not registered, while no time passes for it")
+		}
+	}
+}
--- a/core/amrdirect/strikes_test.go
+++ b/core/amrdirect/strikes_test.go
@@ -34,13 +34,14 @@
 	start time.Time
 
 	mu      sync.Mutex
+	era     uint64 // 0 if the platform does not provide it.
 	version uint64
 	delay   time.Duration // Time that each call takes.
 	away    chan struct{} // Closed while all calls fail.
 }
 
 func newMemoryStore(clock clockwork.Clock) *memoryStore {
-	return &memoryStore{clock: clock, start: clock.Now(), version: 1, away: make(chan struct{})}
+	return &memoryStore{clock: clock, start: clock.Now(), era: firstEra, version: 1, away: make(chan struct{})}
 }
 
 // table returns a new table with the keys.
@@ -117,7 +118,7 @@
 
 // batch returns the rows that changed after the version. The caller must hold mu.
 func (m *memoryTable) batch(after uint64) amrfollow.Batch {
-	b := amrfollow.Batch{Position: amrfollow.Position{Era: firstEra, Version: m.version}, Now: m.clock.Since(m.start)}
+	b := amrfollow.Batch{Position: amrfollow.Position{Era: m.era, Version: m.version}, Now: m.clock.Since(m.start)}
 	for _, row := range m.rows {
 		if row.Version > after {
 			b.Rows = append(b.Rows, row)
@@ -179,11 +180,11 @@
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return amrfollow.Receipt{Position: amrfollow.Position{Era: firstEra, Version: m.version}}, nil
+	return amrfollow.Receipt{Position: amrfollow.Position{Era: m.era, Version: m.version}}, nil
 }
 
 func (m *memoryTable) Read(context.Context, string) (amrplatform.Item, uint64, error) {
-	return amrplatform.Item{}, firstEra, amrplatform.NotFound.New("not used by the test")
+	return amrplatform.Item{}, m.era, amrplatform.NotFound.New("not used by the test")
 }
 
 // state returns the number of rows and that of the writes.
--- a/core/amrdirect/version_readings.go
+++ b/core/amrdirect/version_readings.go
@@ -21,7 +21,7 @@
 
 // noteOf returns the note of the reading, or nil if there is none.
 func noteOf(r amrfollow.Reading) *readingNote {
-	if r.Version == 0 {
+	if r == (amrfollow.Reading{}) {
 		return nil
 	}
 	return &readingNote{Era: r.Era, Version: r.Version, AtMS: r.Now.Milliseconds()}
@@ -47,7 +47,7 @@
 
 // observe adds a reading, and reports whether it was not known.
 func (v *versionReadings) observe(r amrfollow.Reading) bool {
-	if r.Version == 0 || slices.Contains(v.readings, r) {
+	if r == (amrfollow.Reading{}) || slices.Contains(v.readings, r) {
 		return false
 	}
 	i, _ := slices.BinarySearchFunc(v.readings, r.Now, func(known amrfollow.Reading, now time.Duration) int {
--- a/core/amrfollow/confirm.go
+++ b/core/amrfollow/confirm.go
@@ -51,9 +51,14 @@
 }
 
 // AwaitContact waits until the source has responded for the first time and the consumer has
-// been passed the rows, or ctx is done, which it reports as an error.
+// been passed the rows, or ctx is done, which it reports as an error. The table may be empty.
 func (f *Follower) AwaitContact(ctx context.Context) error {
-	return f.awaitPassedOn(ctx, Position{Version: 1})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-f.contacted:
+		return nil
+	}
 }
 
 // passedOn returns the newest position up to which the consumer has been passed all changes.
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -108,6 +108,9 @@
 	askedAt   time.Time     // Time of the last call.
 	pause     time.Duration // Length of the last pause; 0 after a successful call.
 
+	contactOnce sync.Once
+	contacted   chan struct{} // Closed after the first response of the source.
+
 	mu        sync.Mutex
 	interrupt context.CancelFunc // Cancels the call in progress; nil if there is none.
 	hintedEra uint64             // Newest era that ObserveEra was told of.
@@ -160,6 +163,7 @@
 		wait:        func() time.Duration { return DefaultWait },
 
 		passedChanged: make(chan struct{}),
+		contacted:     make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -283,6 +287,7 @@
 		f.apply(Update{Rows: rows, Reconnected: reconnected, Restored: restored, Era: batch.Era, Now: batch.Now, Since: since})
 	}
 	f.recordPassedOn(batch.Position)
+	f.contactOnce.Do(func() { close(f.contacted) })
 }
 
 // since returns Update.Since for a batch that has arrived at the time now. A call that waited
