Deliver answers and refusals that are written late

What callers saw (LOST): a whole request that had reached the process got neither an answer nor a refusal, and the log said that it had been answered.

Cause: the time until which an answer may be written ends 0.25 s after the deadline of the request, for callers that do not read. It was set once, when the body had arrived, whatever the time was then. If the answer was written later, the write failed, http.Server closed the connection, and the router logged status=200 or 504. So every refusal of a request whose body arrived after its deadline was lost, and each answer on a processor that was busy. A change of the records does this when it shortens a route's timeout, or keeps a small processor busy. Told apart from the closes of idle connections by the new log: no line "connection of a client closed", but a line of the request with a status.

Change: when an answer begins, at least 0.25 s are left to write it, and 5 s for a refusal, which fits into the buffer of the socket. Whole answers are flushed before the request is logged, and the line tells "not-delivered" if that failed.

--- a/core/amrforward/metrics.go
+++ b/core/amrforward/metrics.go
@@ -112,6 +112,9 @@
 	if len(x.sends) > 0 {
 		attrs = append(attrs, slog.String("sends", x.formatSends()))
 	}
+	if x.writeErr != nil {
+		attrs = append(attrs, slog.String("not-delivered", x.writeErr.Error()))
+	}
 	if x.refused != nil {
 		attrs = append(attrs, slog.String("reason", reason), slog.String("ran", string(x.refused.ran)), slog.String("detail", x.refused.detail))
 	}
--- a/core/amrforward/refusal.go
+++ b/core/amrforward/refusal.go
@@ -17,6 +17,10 @@
 	overloadRetry = time.Second            // Time for the queues of an overloaded pool to become shorter.
 )
 
+// refusalWriteTime is the time that a caller has at least to receive a refusal. The refusal
+// fits into the buffer of the socket.
+const refusalWriteTime = 5 * time.Second
+
 // refusal is an error answer that the router itself gives to a request.
 type refusal struct {
 	code       amrreason.Code
@@ -74,6 +78,9 @@
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64))
 	}
 	x.status = r.status()
+	x.beginAnswer(refusalWriteTime)
 	x.w.WriteHeader(x.status)
-	_, x.writeErr = x.w.Write(body)
+	if _, x.writeErr = x.w.Write(body); x.writeErr == nil {
+		x.deliver()
+	}
 }
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -134,7 +134,11 @@
 		}
 		a.Length = int64(len(data))
 		x.writeHeader(a)
-		return x.writeHeld(data)
+		if err := x.writeHeld(data); err != nil {
+			return err
+		}
+		x.deliver()
+		return nil
 	}
 	x.writeHeader(a)
 	if err := x.writeHeld(data); err != nil {
@@ -242,7 +246,23 @@
 // limitWrites limits the time for which a caller that does not read its answer can
 // hold up the request.
 func (x *exchange) limitWrites() {
-	err := http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeMargin))
+	x.setWriteDeadline(x.deadline.Add(writeMargin))
+}
+
+// beginAnswer extends the time to write an answer that begins late, so that at least the time
+// least is left: the body of the request may have arrived after the deadline, or the processor
+// may have been busy. A connection whose write deadline has passed would be closed without an
+// answer.
+func (x *exchange) beginAnswer(least time.Duration) {
+	now := x.f.clock.Now()
+	if until := now.Add(least); x.deadline.IsZero() || until.After(x.deadline.Add(writeMargin)) {
+		x.setWriteDeadline(until)
+	}
+}
+
+// setWriteDeadline sets the time until which the answer may be written.
+func (x *exchange) setWriteDeadline(at time.Time) {
+	err := http.NewResponseController(x.w).SetWriteDeadline(at)
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		x.f.log.Warn("cannot limit the time to write an answer", "id", x.request.ID, "err", err)
 	}
@@ -254,6 +274,7 @@
 		return
 	}
 	x.headerWritten = true
+	x.beginAnswer(writeMargin)
 	x.status = a.Status
 	x.firstByte = x.f.clock.Now()
 	header := x.w.Header()
@@ -278,6 +299,15 @@
 	return nil
 }
 
+// deliver sends a whole answer that has been written, and records an error, so that the log
+// tells of answers which the caller has not received.
+func (x *exchange) deliver() {
+	err := http.NewResponseController(x.w).Flush()
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		x.writeErr = err
+	}
+}
+
 func (x *exchange) flush() error {
 	if x.ahead != nil {
 		x.ahead.beginWrite()
