Fault soak: changes of the records in series, clients on kept connections

A new kind, records-series, changes idle and route timeouts, attempts, up to 1,500 routes and the keys in quick succession. With it, 40 clients for each router keep a connection each, without a proxy, and send whole requests after pauses of up to 0.8 of the least idle timeout, some in two parts, some with a body of up to 200 KB. The promise "requests that arrive are answered" is broken by each that gets neither an answer nor a refusal, unless its router was killed, or closed the connection within 0.2 s while it was stopping.

--- a/standin/amrsite/records.go
+++ b/standin/amrsite/records.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -198,22 +199,65 @@
 	for i, t := range teams {
 		tenants[i] = teamJSON{Name: t.Name, APIKeys: t.Keys, Isolated: true, Quota: t.Quota}
 	}
+	v := s.currentVariation()
 	s.putJSON(operatorTable, configKey, configJSON{
 		Version: version,
-		Routes: []routeJSON{
+		Routes: v.vary([]routeJSON{
 			newRoute(NonIdempotentRoute, "non_idempotent", ServicePool), newRoute(IdempotentRoute, "idempotent", ServicePool),
 			newRoute(StreamRoute, "stream", EnginePool), newRoute(ResumableStreamRoute, "stream", EnginePool),
 			newRoute(PatientStreamRoute, "stream", EnginePool),
-		},
+		}),
 		Services: []serviceJSON{
 			{Name: EnginePool, Engine: &engineJSON{Slots: slots, KVCapacity: EngineMemory, Models: []ModelInfo{{Name: model}}}},
 			{Name: ServicePool},
 		},
-		Limits:  limitsJSON{HeaderBytes: 16 << 10, MaxBodyBytes: s.currentMaxBodyBytes(), HeaderTimeoutMs: 3000, IdleMs: 15000},
+		Limits:  limitsJSON{HeaderBytes: 16 << 10, MaxBodyBytes: s.currentMaxBodyBytes(), HeaderTimeoutMs: 3000, IdleMs: cmp.Or(v.IdleTimeout, defaultIdleTimeout).Milliseconds()},
 		Tenants: tenants,
 	})
 }
 
+// Variation is what changes between configurations without an effect on the answers to
+// requests. The zero value selects the defaults.
+type Variation struct {
+	IdleTimeout  time.Duration // For which clients may keep a connection without a request.
+	RouteTimeout time.Duration // Of all routes but PatientStreamRoute.
+	ExtraRoutes  int           // Number of routes that nobody uses.
+	Attempts     int           // Of each route.
+}
+
+// defaultIdleTimeout is the idle timeout in configurations, unless a Variation sets another.
+const defaultIdleTimeout = 15 * time.Second
+
+// SetVariation sets what differs in the configurations that are written from now on.
+func (s *Store) SetVariation(v Variation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.variation = v
+}
+
+func (s *Store) currentVariation() Variation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.variation
+}
+
+// vary returns the routes with the variation.
+func (v Variation) vary(routes []routeJSON) []routeJSON {
+	for i := range routes {
+		if routes[i].Name != PatientStreamRoute {
+			routes[i].TimeoutMs = cmp.Or(v.RouteTimeout.Milliseconds(), routes[i].TimeoutMs)
+		}
+		routes[i].Attempts = cmp.Or(v.Attempts, routes[i].Attempts)
+	}
+	for i := range v.ExtraRoutes {
+		extra := newRoute(IdempotentRoute, "idempotent", ServicePool)
+		extra.Name = fmt.Sprintf("extra-%d", i)
+		extra.Prefix = "/" + extra.Name + "/"
+		routes = append(routes, extra)
+	}
+	return routes
+}
+
 // SetMaxBodyBytes sets the maximum size of a request body in the configurations that are
 // written from now on.
 func (s *Store) SetMaxBodyBytes(n int) {
--- a/standin/amrsite/store.go
+++ b/standin/amrsite/store.go
@@ -31,6 +31,7 @@
 	replacements map[string]string // Replacements of addresses in values that are read over HTTP.
 	calls        map[string]int    // Number of calls by name.
 	maxBodyBytes int               // In configurations; 0 for MaxBodyBytes.
+	variation    Variation         // Of configurations.
 }
 
 // state is what a store keeps.
--- a/standin/amrsoak/checker.go
+++ b/standin/amrsoak/checker.go
@@ -124,6 +124,7 @@
 	takenUp          served                     // Undisturbed requests that take streams up.
 	allTakenUp       served                     // Requests that take streams up, also disturbed ones.
 	newStreams       served                     // Undisturbed requests that begin streams that can be taken up.
+	kept             served                     // Requests on kept connections, and those with an answer or a refusal.
 	losses           [causeCount]int            // Requests of the load that were not served, by cause.
 	powerReturn      *powerReturn               // Last return of power; nil if it is not watched.
 	returns          []string                   // What became of requests after each return of power.
--- a/standin/amrsoak/command.go
+++ b/standin/amrsoak/command.go
@@ -151,8 +151,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	fmt.Fprintf(out, "seed %d: %d faults, answered %d, refused %d, lost %d, undisturbed %d, went on %d of %d, of all %d of %d, quota %d of %d, losses gone %d (bound %d) refused %d late %d lost %d, broken promises %q\n",
-		seed, len(result.Faults), result.Answered, result.Refused, result.Lost, result.Undisturbed, result.TakenUp.served, result.TakenUp.all, result.AllTakenUp.served, result.AllTakenUp.all, result.QuotaRuns, maxQuotaRuns(), result.Losses[causeGone], result.MaxGone, result.Losses[causeRefused], result.Losses[causeLate], result.Losses[causeLost], result.brokenPromises())
+	fmt.Fprintf(out, "seed %d: %d faults, answered %d, refused %d, lost %d, undisturbed %d, went on %d of %d, of all %d of %d, kept connections answered %d of %d, quota %d of %d, losses gone %d (bound %d) refused %d late %d lost %d, broken promises %q\n",
+		seed, len(result.Faults), result.Answered, result.Refused, result.Lost, result.Undisturbed, result.TakenUp.served, result.TakenUp.all, result.AllTakenUp.served, result.AllTakenUp.all, result.Kept.served, result.Kept.all, result.QuotaRuns, maxQuotaRuns(), result.Losses[causeGone], result.MaxGone, result.Losses[causeRefused], result.Losses[causeLate], result.Losses[causeLost], result.brokenPromises())
 	if len(result.Violations) > 0 || o.verbose {
 		result.write(out)
 	}
--- a/standin/amrsoak/fault.go
+++ b/standin/amrsoak/fault.go
@@ -178,6 +178,8 @@
 		s.revokeKeyFor(f.Length)
 	case newWeights:
 		s.publishWeights()
+	case recordsSeries:
+		s.changeRecordsInSeries(f)
 	case storeRestored:
 		s.restoreStore(f.Length)
 	case killAllMixed:
@@ -281,6 +283,7 @@
 // stop is not a disturbance, because the promises also hold then.
 func (s *site) restart(r *router, signal syscall.Signal, down time.Duration) error {
 	if signal == syscall.SIGKILL {
+		defer func(end func(time.Time)) { end(s.clock.Now()) }(s.checker.disturbances.begin(killPrefix+r.name, s.clock.Now()))
 		defer func(end func(time.Time)) { end(s.clock.Now()) }(s.checker.disturbances.begin(r.name, s.clock.Now()))
 	}
 	defer func(end func(time.Time)) { end(s.clock.Now()) }(s.checker.disturbances.begin(gonePrefix+r.name, s.clock.Now()))
--- a/standin/amrsoak/faultkind.go
+++ b/standin/amrsoak/faultkind.go
@@ -50,6 +50,7 @@
 	weightsSeries       faultKind = "weights-series"       // New weights are named several times, and each time the router that ordered last is killed, cut off or paused.
 	powerLost           faultKind = "power-lost"           // All routers, servers and the store lose power and return, in any order; servers that are back may end connections for a while.
 	serverBroken        faultKind = "server-broken"        // A backend server sends responses that are no answers, or that only look so; some of the requests have long bodies.
+	recordsSeries       faultKind = "records-series"       // The records change in quick succession: idle and route timeouts, attempts, hundreds of routes, a key.
 	rollRouters         faultKind = "rolling-restart"      // All routers are stopped by SIGTERM and started again, one after the other; new weights are named when the last one got the signal.
 )
 
@@ -65,6 +66,7 @@
 	engineRenewed, engineReplaced, routerCut, rollRouters, splitAnswers,
 	latePrompts, weightsSeries, powerLost,
 	serverBroken,
+	recordsSeries,
 }
 
 // kindsNamed returns the kinds with the names, in the order of faultKinds. It returns
@@ -89,7 +91,7 @@
 // than that, and otherFaults for the others.
 func (k faultKind) disturbs() string {
 	switch k {
-	case killRouter, killAllRouters, killAllMixed, stopRouter, pauseRouter, hangUp, quotaExceeded, unevenEngines:
+	case killRouter, killAllRouters, killAllMixed, stopRouter, pauseRouter, hangUp, quotaExceeded, unevenEngines, recordsSeries:
 		return ""
 	case slowCallers, fullMemory, latePrompts:
 		return extraLoad
--- a/standin/amrsoak/loss.go
+++ b/standin/amrsoak/loss.go
@@ -30,6 +30,7 @@
 	otherFaults = "other faults" // Faults by which a request may be lost although its router is not gone.
 	extraLoad   = "extra load"   // Load by which requests may be refused.
 	gonePrefix  = "gone/"        // Precedes the name of a router that is killed, stopped or paused.
+	killPrefix  = "killed/"      // Precedes the name of a router that is killed.
 )
 
 const (
--- a/standin/amrsoak/power.go
+++ b/standin/amrsoak/power.go
@@ -52,7 +52,7 @@
 	dark := random.IntN(2) == 0
 	ends := []func(time.Time){s.checker.disturbances.begin(allRouters, s.clock.Now()), s.checker.disturbances.begin(linkFaults, s.clock.Now())}
 	for _, r := range s.routers {
-		ends = append(ends, s.checker.disturbances.begin(gonePrefix+r.name, s.clock.Now()))
+		ends = append(ends, s.checker.disturbances.begin(gonePrefix+r.name, s.clock.Now()), s.checker.disturbances.begin(killPrefix+r.name, s.clock.Now()))
 	}
 	groups := []machineGroup{s.routerMachines(), s.serverMachines(dark, endTime), s.storeMachine()}
 	err := s.inGroups(random, groups, func(g machineGroup, i int) error { return g.lose(i) })
--- a/standin/amrsoak/site.go
+++ b/standin/amrsoak/site.go
@@ -64,6 +64,7 @@
 	peers   *TCPProxy    // From other routers to the router.
 	notices *UDPProxy    // From other routers to the router, for datagrams.
 	health  string       // Address of its readiness endpoint.
+	direct  string       // Address for callers that use no proxy.
 	client  *http.Client // Client of its callers.
 	ready   atomic.Bool  // Result of the last readiness check of watchReadiness.
 }
@@ -111,6 +112,7 @@
 	Settings    map[string]string // Settings of the routers by name, which replace those of routerSettings; an empty value leaves one out.
 	WeightsLoad time.Duration     // Time that an engine takes to load weights; 0 for defaultWeightsLoad.
 	Uploads     bool              // Some requests of the load have long bodies.
+	KeptConns   bool              // There are clients that keep connections to routers.
 }
 
 // defaultWeightsLoad is the time that an engine takes to load weights by default.
@@ -255,7 +257,7 @@
 			return err
 		}
 	}
-	r := &router{Process: NewProcess(s.clock, name, program, dir, s.reportExit), health: addresses[1]}
+	r := &router{Process: NewProcess(s.clock, name, program, dir, s.reportExit), health: addresses[1], direct: addresses[0]}
 	var err error
 	if r.callers, err = s.proxy(addresses[0]); err != nil {
 		return err
--- a/standin/amrsoak/soak.go
+++ b/standin/amrsoak/soak.go
@@ -66,6 +66,7 @@
 	Undisturbed int             // Requests without a disturbance, to which the time limits apply.
 	TakenUp     served          // Undisturbed requests that take streams up.
 	AllTakenUp  served          // Requests that take streams up and got an answer.
+	Kept        served          // Requests on kept connections, and those with an answer or a refusal.
 	Losses      [causeCount]int // Requests of the load that were not served, by cause.
 	MaxGone     int             // Bound of those with the cause causeGone.
 	Returns     []string        // Share of the requests that were served in each second after each return of power.
@@ -90,6 +91,7 @@
 	if s.TimeLimitFactor > 0 {
 		limits = limits.scaled(s.TimeLimitFactor)
 	}
+	s.Deployment.KeptConns = slices.Contains(s.FaultNames, string(recordsSeries))
 	s.Deployment.Uploads = s.Deployment.Uploads || slices.Contains(kinds, serverBroken)
 	checker := newChecker(clock, limits, &disturbances{}, streamEvents)
 	site, err := startSite(ctx, clock, checker, s.Program, s.Dir, s.Size, s.Deployment)
@@ -111,7 +113,7 @@
 	}
 	err = errors.Join(err, site.close(), site.checkLogs())
 	return Result{
-		Faults: faults, Answered: checker.answered, Refused: checker.refused, Lost: checker.lost, Undisturbed: checker.undisturbedCount, TakenUp: checker.takenUp, AllTakenUp: checker.allTakenUp, Losses: checker.losses, MaxGone: checker.disturbances.maxGone(s.Size.Routers, limits.startUp), QuotaRuns: checker.maxQuotaRuns, Returns: checker.returns, Violations: checker.Violations(),
+		Faults: faults, Answered: checker.answered, Refused: checker.refused, Lost: checker.lost, Undisturbed: checker.undisturbedCount, TakenUp: checker.takenUp, AllTakenUp: checker.allTakenUp, Kept: checker.kept, Losses: checker.losses, MaxGone: checker.disturbances.maxGone(s.Size.Routers, limits.startUp), QuotaRuns: checker.maxQuotaRuns, Returns: checker.returns, Violations: checker.Violations(),
 	}, err
 }
 
@@ -123,6 +125,12 @@
 	for _, r := range s.routers {
 		group.Go(func() error { s.watchReadiness(loadCtx, r); return nil })
 	}
+	if s.deployment.KeptConns {
+		for _, r := range s.routers {
+			seed := random.Uint64()
+			group.Go(func() error { return s.keepConns(loadCtx, r, seed) })
+		}
+	}
 	group.Go(func() error { return s.sendLoad(loadCtx, random, loadPrefix) })
 	group.Go(func() error { s.backUpStore(loadCtx); return nil })
 	err := s.injectFaults(ctx, faults)
--- a/standin/amrsoak/soak_test.go
+++ b/standin/amrsoak/soak_test.go
@@ -148,3 +148,16 @@
 		seen[r.Seed] = true
 	}
 }
+
+// TestSoakRecords guards against requests on kept connections that get neither an answer nor a
+// refusal beside changes of the records, while routers reload their settings, are paused and are
+// stopped.
+func TestSoakRecords(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	result := runSoak(t, Soak{
+		Seed: 51001, Length: 12 * time.Second, FaultInterval: 400 * time.Millisecond, Size: Size{Routers: 3, Engines: 4, Services: 3},
+		FaultNames: []string{string(recordsSeries), string(hangUp), string(revokeKey), string(pauseRouter), string(stopRouter)},
+	}, keptConnPromise)
+	is.True(result.Kept.all > 0)
+}
