--- a/core/amrdirect/rollout_targets.go
+++ b/core/amrdirect/rollout_targets.go
@@ -42,7 +42,11 @@
 
 // dateTargets tells the fleet when weights were declared, as far as this is not what it was
 // told before. A time after tableNow is that of a clock which was set back, and counts as now.
+// It does nothing while the reading of the clock is unknown, that is 0.
 func (r *rollout) dateTargets(tableNow time.Duration) {
+	if tableNow == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
--- a/core/amrfollow/copy.go
+++ b/core/amrfollow/copy.go
@@ -26,7 +26,9 @@
 	tombstones  *simplelru.LRU[string, Row] // Last states of deleted rows, by key.
 	position    Position                    // Newest position that the copy covers.
 	lastContact time.Time                   // When the table itself last responded.
-	reading     Reading                     // Of the table's clock at lastContact.
+	tableNow    time.Duration               // Reading of the table's clock at lastContact.
+	reading     Reading                     // In the last response that was not partial.
+	readAt      time.Time                   // Time of that response.
 
 	deletions []Row         // Latest deletions, oldest first.
 	since     uint64        // Version from which on deletions has all deletions.
@@ -87,20 +89,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastContact = now.Add(-batch.Age)
-	c.reading = Reading{Position: batch.Position, Now: batch.Now - batch.Age}
+	c.tableNow = batch.Now - batch.Age
+	if !batch.Partial {
+		c.reading, c.readAt = Reading{Position: batch.Position, Now: c.tableNow}, c.lastContact
+	}
 }
 
-// Reading returns the reading of the table's clock at LastContact.
+// Reading returns the reading of the table's clock in the last response of the table itself
+// that was not partial, or the zero Reading if there was none.
 func (c *Copy) Reading() Reading {
 	reading, _ := c.lastReading()
 	return reading
 }
 
-// lastReading returns what Reading and LastContact do, at one moment.
+// lastReading returns what Reading does, and the time of the response.
 func (c *Copy) lastReading() (reading Reading, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reading, c.lastContact
+	return c.reading, c.readAt
 }
 
 // TableNow returns an estimate of the reading of the table's clock at the time
@@ -108,7 +114,7 @@
 func (c *Copy) TableNow(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reading.Now + now.Sub(c.lastContact)
+	return c.tableNow + now.Sub(c.lastContact)
 }
 
 // merge applies a batch and returns the rows that it changed. If the batch is
--- a/core/amrfollow/follower.go
+++ b/core/amrfollow/follower.go
@@ -50,6 +50,7 @@
 	Rows     []Row
 	Now      time.Duration // Reading of the table's monotonic clock.
 	Age      time.Duration // Time since the table itself responded; 0 if the batch comes from the table.
+	Partial  bool          // With changes: there may be more, after the position.
 	Keys     KeysDigest    // With changes: digest of the keys of all rows if the rows may lack deletions, otherwise 0.
 }
 
@@ -106,6 +107,7 @@
 	lost      atomic.Bool   // The last call to the table failed.
 	lostSince time.Time     // Time of the first of the failed calls.
 	askedAt   time.Time     // Time of the last call.
+	partial   bool          // The last response of the table was partial.
 	pause     time.Duration // Length of the last pause; 0 after a successful call.
 
 	contactOnce sync.Once
@@ -272,8 +274,9 @@
 	}
 	f.position = batch.Position
 	contact := f.copy.LastContact()
-	since := f.since(now, batch, !complete && !reconnected)
+	since := f.since(now, batch, !complete && !reconnected && !f.partial)
 	f.copy.recordContact(now, batch)
+	f.partial = batch.Partial
 	if f.copy.lacksDeletions(batch.Keys) {
 		f.log.Info("changes of the table lack deletions; reading all rows", "table", f.name, "era", batch.Era, "version", batch.Version)
 		f.position = Position{}
