--- a/core/amrdirect/rollout.go
+++ b/core/amrdirect/rollout.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -98,6 +99,37 @@
 	announcedChanges map[string]amrpool.WeightsChange // Changes whose begin was announced to the other routers, and whose end was not.
 }
 
+// newRollout returns a rollout without planned changes.
+func (r *Router) newRollout() *rollout {
+	return &rollout{
+		deps:       r.deps,
+		fleet:      r.fleet,
+		pools:      r.modelPools,
+		host:       r.settings.Host,
+		boot:       r.boot,
+		clock:      r.clock,
+		log:        r.log,
+		wake:       make(chan struct{}, 1),
+		mode:       KeepRequests,
+		loadSlots:  semaphore.NewWeighted(loadCapacity),
+		orders:     newOrderCounter(),
+		orderTimes: make(orderNotes),
+		tableTime:  &r.tableTime,
+		tableNow:   r.sharedTableNow,
+		reading:    r.tableReading,
+		lease:      amrorder.NewFollowedLease(r.boot.Now(), leaseKey, r.settings.Host, uuid.NewString(), leaseTTL),
+		handover:   newHandover(r.boot.Now(), r.settings.Host, r.settings.Bounds.LeaseHandover),
+		upgrades:   make(map[string]*amrorder.Upgrade),
+		changes:    make(map[string]amrpool.WeightsChange),
+		declared:   newDeclarationTimes(),
+		dated:      make(map[TargetWeights]time.Duration),
+		announced:  true,
+		notify:     r.requestSend,
+
+		announcedChanges: make(map[string]amrpool.WeightsChange),
+	}
+}
+
 // Run plans and carries out changes until ctx is done. After stopping is done, it
 // goes on while callers are served, since all other routers may be stopping too, and
 // then with the rollout in progress, for at most the limit in all. It resigns the lease
