amrserve: no timeout where the limits state none

A server whose limits have no idle timeout closed connections after the 1 s by which it closes later than the timeout; no program of ours has such limits. TestNoIdleTimeout failed before. TestLongRequestAfterBody: a request may take longer than its body.

--- a/core/amrserve/conn_limiter.go
+++ b/core/amrserve/conn_limiter.go
@@ -26,7 +26,7 @@
 )
 
 // ConnLimits are the limits of client connections that may change while a
-// server runs. A limit of zero means that of the server.
+// server runs. A limit of zero means that of the server, if it has one.
 type ConnLimits struct {
 	HeaderBytes   int           // Maximum size of the request line and the header fields.
 	HeaderTimeout time.Duration // Maximum time from the first byte of a request to the end of its header.
@@ -161,9 +161,9 @@
 	for _, conn := range c.all() {
 		limits := c.timeouts(conn.stateSince())
 		switch {
-		case conn.leaveIdle(now, limits.IdleTimeout+idleSlack):
+		case limits.IdleTimeout > 0 && conn.leaveIdle(now, limits.IdleTimeout+idleSlack):
 			c.end(conn, endIdle)
-		case conn.leaveHeader(now, limits.HeaderTimeout):
+		case limits.HeaderTimeout > 0 && conn.leaveHeader(now, limits.HeaderTimeout):
 			c.end(conn, endHeaderTimeout)
 		}
 	}
--- a/core/amrserve/conn_limiter_test.go
+++ b/core/amrserve/conn_limiter_test.go
@@ -191,3 +191,31 @@
 	is.Equal(c.status(), http.StatusRequestTimeout)
 	is.True(c.closed(s))
 }
+
+// TestNoIdleTimeout checks that connections to a server without limits stay open.
+func TestNoIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	fake := clockwork.NewFakeClock()
+	ctx, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "complete") })
+		return amrserve.Serve(ctx, listener, handler, amrserve.Limits{}, time.Second, amrserve.WithConnLimiter(amrserve.NewConnLimiter(fake)))
+	})
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	c := &client{t: t, conn: conn, reader: bufio.NewReader(conn)}
+	c.send(completeRequest)
+	is.Equal(c.status(), http.StatusOK)
+	for range 20 {
+		fake.Advance(time.Minute)
+		clock.Sleep(time.Millisecond)
+	}
+	c.send(completeRequest)
+	is.Equal(c.status(), http.StatusOK)
+	is.NoErr(conn.Close())
+	stop()
+	is.NoErr(group.Wait())
+}
--- a/core/amrserve/waiting_request_test.go
+++ b/core/amrserve/waiting_request_test.go
@@ -256,3 +256,34 @@
 	is.True(strings.Contains(s.log.String(), "reason=aborted"))
 	is.Equal(testutil.CollectAndCount(s.registry, "amr_client_connections_ended_total"), 7)
 }
+
+// TestLongRequestAfterBody guards against a request that is canceled because it takes longer than
+// its body may take to arrive.
+func TestLongRequestAfterBody(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	limits := amrserve.DefaultLimits
+	limits.ReadTimeout = 100 * time.Millisecond
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusInternalServerError)
+		case <-clock.After(400 * time.Millisecond):
+		}
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return amrserve.Serve(ctx, listener, handler, limits, time.Second) })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	c := &client{t: t, conn: conn, reader: bufio.NewReader(conn)}
+	for range 2 {
+		c.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+		is.Equal(c.status(), http.StatusOK)
+	}
+	is.NoErr(conn.Close())
+	stop()
+	is.NoErr(group.Wait())
+}
