Log a request before its answer is sent whole

Cause: whole answers were flushed before the request was logged, so that the line could tell of a failure, and callers were faster than the log. Operators and tests look for the line of a request whose answer they have.

Change: the line is written first, as before; a failure to send the rest has a line of its own, "answer could not be delivered", with the id.

--- a/core/amrforward/forwarder.go
+++ b/core/amrforward/forwarder.go
@@ -252,6 +252,7 @@
 	if x.refused != nil && x.headerWritten {
 		x.abort()
 	}
+	x.deliver(ctx)
 }
 
 // abort ends an answer that broke off, so that the caller cannot mistake it for a
--- a/core/amrforward/refusal.go
+++ b/core/amrforward/refusal.go
@@ -80,7 +80,5 @@
 	x.status = r.status()
 	x.beginAnswer(refusalWriteTime)
 	x.w.WriteHeader(x.status)
-	if _, x.writeErr = x.w.Write(body); x.writeErr == nil {
-		x.deliver()
-	}
+	_, x.writeErr = x.w.Write(body)
 }
--- a/core/amrforward/relay.go
+++ b/core/amrforward/relay.go
@@ -134,11 +134,7 @@
 		}
 		a.Length = int64(len(data))
 		x.writeHeader(a)
-		if err := x.writeHeld(data); err != nil {
-			return err
-		}
-		x.deliver()
-		return nil
+		return x.writeHeld(data)
 	}
 	x.writeHeader(a)
 	if err := x.writeHeld(data); err != nil {
@@ -299,13 +295,14 @@
 	return nil
 }
 
-// deliver sends a whole answer that has been written, and records an error, so that the log
-// tells of answers which the caller has not received.
-func (x *exchange) deliver() {
+// deliver sends what has been written of an answer, and logs if the caller cannot get it. ctx
+// ends when the caller disconnects.
+func (x *exchange) deliver(ctx context.Context) {
 	err := http.NewResponseController(x.w).Flush()
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		x.writeErr = err
+	if err == nil || errors.Is(err, http.ErrNotSupported) || x.writeErr != nil || ctx.Err() != nil {
+		return
 	}
+	x.f.log.Warn("answer could not be delivered", "id", x.request.ID, "status", x.status, "err", err)
 }
 
 func (x *exchange) flush() error {
